--- /dev/null
+++ b/brain/brain.go
@@ -0,0 +1,1118 @@
+// Package brain decides for one planner: which tables its proxies follow, and when they hear of it.
+//
+// How to call it: New at each start, then the input methods (Listed, Joined, Left, Heard, Usage, Applied,
+// Probed, Woken) after a Tick with the time; they only update what is known. Then Next until it says false:
+// each call makes at most one decision, by one call on the Host. The interface is in host.go, the reasons
+// in docs/design.md.
+package brain
+
+import (
+	"math"
+	"math/rand"
+	"sort"
+)
+
+const (
+	// The split.
+	solveEveryMs = 2500.0 // ms; half the design's 5 s: two copies then give each proxy news every 5 s
+	soonMs       = 400.0  // ms; least time between solves that the list or health asks for, gathers changes
+	iterations   = 20     // the paper's ADMM-20
+	headroom     = 1.1    // sum of caps over demand; the design's figure
+	step         = 1.0    // cost of an average line in units of an average share, so that rho 1 converges
+	lambdaMost   = 4.0    // in the same unit; a price beyond it outlives the jam that made it
+	leastDemand  = 0.02   // share of a client's fair part; an idle client still needs a sound table
+	copies       = 2      // staged copies of a client's table; half the proxies try a split first
+	notable      = 0.25   // part of a line's weight; smaller moves are within the noise of sums
+	tiny         = 0.02   // share of a table; a smaller line costs connections and brings little
+	leastLines   = 3      // lines a table keeps; two may be lost at once before the table is bare
+
+	// What is heard.
+	keepSamples = 24     // sums kept of each server and proxy; a floor is sought in all of them
+	windowMs    = 8000.0 // ms; some 40 flows a server at the smallest sites: a mean within a sixth
+	capLeast    = 0.08   // part of a nominal cap; less would leave a slow server unheard
+	capMost     = 1.6    // part of a nominal cap; listed sizes are rough but not twice wrong
+	doubleMs    = 5000.0 // ms; the design's doubling time of a new server's cap
+	shyness     = 0.7    // part of the cold share that a start begins with; leaves room for chance
+
+	// Health.
+	verdict    = 8.0    // nats; a false alarm in some 3,000 sums, a dead server is out after two or three
+	sumMost    = 4.0    // nats that a single sum may add; one odd report is never enough
+	badShare   = 0.5    // share of drops that a failing server is tested for
+	goodShare  = 0.04   // least share of drops that a sound server is thought to have
+	outMost    = 0.3    // part of the fleet out at once; beyond it the evidence is doubted
+	outMs      = 5000.0 // ms; first stay out, doubled with each verdict: most hangs last 5 to 20 s
+	outLongest = 20000.0
+	probeMs    = 1500.0 // ms between probes of a server that is out; they cost it work
+
+	// Levels.
+	levelMs   = 2000.0 // ms; a level shows in the sums after about this time
+	jam       = 0.5    // mean latency over latency budget above which a tenth or so is late
+	calm      = 0.35   // and below which levels may rise
+	dropsMost = 0.12   // share of flows dropped that means overload rather than chance
+	levelDown = 0.15   // step of the total admitted; a burst is 1.3 to 2 times the usual
+	levelUp   = 0.08   // smaller than the step down, so that a jam has drained first
+	levelEach = 0.1    // least level of a traffic group; some of it shows whether the jam is over
+
+	// The channel.
+	tidyShare   = 0.15   // part of the longest queue that tidy work may fill; the rest is for rules
+	urgentShare = 0.9    // part for urgent work; counts are estimates
+	slowest     = 6.0    // times slower that the channel is taken to be when receipts are late
+	lateMs      = 500.0  // ms; a receipt this late beyond its longest way means a slow channel
+	askAgainMs  = 1200.0 // ms; first wait after a failed call for the list, doubled each time
+	wakeMs      = 200.0  // ms between looks when nothing comes in; well under every grace
+)
+
+// sum is what proxies met at a server in one report period, or what came to a proxy.
+type sum struct{ at, count, failed, latency, covers float64 }
+
+type server struct {
+	Entry
+	sums     []sum   // the last ones, oldest first
+	out      bool    // withdrawn at the proxies
+	bad      bool    // judged unfit
+	since    float64 // last verdict, return or start: evidence before it is void
+	badUntil float64
+	verdicts int
+	alive    bool // a probe was answered since the verdict
+	probedAt float64
+	rampFrom float64 // its cap starts low here; -Inf for a warm server
+}
+
+type proxy struct {
+	id, zone, copy int
+	usual          float64   // flows per second by its own word
+	usage          [][]sum   // by traffic group
+	bound          []*table  // by traffic group
+	sent           []float64 // times of the last messages
+}
+
+// client is the paper's i: the proxies of one zone, for one traffic group.
+type client struct {
+	zone, group int
+	row         *TrafficGroup
+	cells       map[*server]*cell
+	tables      []*table
+}
+
+// cell holds the paper's variables for a client and a server, and the share published.
+type cell struct{ alpha, beta, lambda float64 }
+
+type table struct {
+	number int
+	client *client
+	want   map[*server]float64
+	lines  map[*server]float64 // as sent
+	due    bool                // wants may be sent now
+}
+
+// level is the admission of one traffic group.
+type level struct{ want, sent float64 }
+
+type receipt struct {
+	number  int
+	due     float64
+	waiting map[*proxy]bool
+}
+
+// Planner decides for the proxies joined to it. It shares nothing with other planners.
+type Planner struct {
+	set     Settings
+	chance  *rand.Rand
+	now     float64
+	started float64
+
+	servers []*server
+	byName  map[string]*server
+	proxies []*proxy // joined, in order of joining
+	byID    map[int]*proxy
+	clients []*client
+	levels  []level
+
+	solvedAt, levelAt, thoughtAt float64
+	solves                       int
+	unsolved                     bool // what servers may be used has changed
+	fleetHeard                   []float64
+
+	// The channel: lines waiting, worked out when orders were last counted.
+	waiting, countedAt float64
+	slow               bool
+	receipts           []receipt
+	nextReceipt        int
+	asked              int // receipt number of this tick, or -1
+
+	following         bool
+	followAt, askWait float64
+	wakeAt            float64
+}
+
+// New starts a planner that knows its settings and nothing else.
+func New(set Settings, seed int64) *Planner {
+	p := &Planner{set: set, chance: rand.New(rand.NewSource(seed)), byName: map[string]*server{},
+		byID: map[int]*proxy{}, asked: -1, askWait: askAgainMs, unsolved: true, started: math.NaN(),
+
+		solvedAt: math.Inf(-1), levelAt: math.Inf(-1), thoughtAt: math.Inf(-1), wakeAt: math.Inf(-1)}
+	for g := range set.Groups {
+		p.levels = append(p.levels, level{1, 1})
+		if p.retry(g) != set.DefaultRetry {
+			p.levels[g].sent = -1 // proxies must be told that they may not repeat
+		}
+	}
+	for z := 0; z < set.Zones; z++ {
+		for g := range set.Groups {
+			c := &client{zone: z, group: g, row: &p.set.Groups[g], cells: map[*server]*cell{}}
+			for n := 0; n < copies; n++ {
+				c.tables = append(c.tables, &table{number: len(p.clients)*copies + n, client: c,
+					want: map[*server]float64{}, lines: map[*server]float64{}, due: true})
+			}
+			p.clients = append(p.clients, c)
+		}
+	}
+	return p
+}
+
+// Tick tells the time. All that follows until the next Tick leaves in one message a proxy.
+func (p *Planner) Tick(now float64) {
+	if math.IsNaN(p.started) {
+		p.started, p.countedAt = now, now
+	}
+	if now > p.now {
+		p.asked = -1
+	}
+	p.now = now
+}
+
+// Woken ends the wait that Wake began.
+func (p *Planner) Woken() { p.wakeAt = math.Inf(-1) }
+
+// Listed updates the list.
+func (p *Planner) Listed(form ListForm, list []Entry) {
+	if form == Failed {
+		p.following, p.followAt = false, p.now+p.askWait*(0.5+p.chance.Float64())
+		p.askWait = math.Min(2*p.askWait, p.set.AskWithinMs/2)
+		return
+	}
+	if form != Restored {
+		p.askWait = askAgainMs
+		p.following = true
+	}
+	p.unsolved = true
+	seen := map[string]bool{}
+	for _, e := range list {
+		seen[e.Server] = true
+		s := p.byName[e.Server]
+		if s == nil {
+			s = &server{since: p.now, rampFrom: math.Inf(-1)}
+			if e.BornMs > 0 {
+				s.rampFrom = e.BornMs
+			}
+			p.byName[e.Server] = s
+			p.servers = append(p.servers, s)
+		} else if e.State == Ready && (e.BornMs > s.BornMs || s.State == Gone) {
+			// A server that came back cold under its old name: nothing heard of it holds any more.
+			*s = server{out: s.out, since: p.now, rampFrom: math.Max(e.BornMs, p.now-p.set.WarmUpMs)}
+		}
+		s.Entry = e
+	}
+	if form == Whole || form == Restored {
+		for _, s := range p.servers {
+			if !seen[s.Server] {
+				s.State = Gone
+			}
+		}
+	}
+}
+
+// Joined is a proxy's new stream; it keeps what it held.
+func (p *Planner) Joined(id, zone int, usual float64) {
+	p.Left(id)
+	q := &proxy{id: id, zone: zone, usual: usual, usage: make([][]sum, len(p.set.Groups)),
+		bound: make([]*table, len(p.set.Groups))}
+	with := make([]int, copies)
+	for _, o := range p.proxies {
+		if o.zone == zone {
+			with[o.copy]++
+		}
+	}
+	for n := range with {
+		if with[n] < with[q.copy] {
+			q.copy = n
+		}
+	}
+	p.byID[id] = q
+	p.proxies = append(p.proxies, q)
+}
+
+// Left is the end of a proxy's stream.
+func (p *Planner) Left(id int) {
+	gone := p.byID[id]
+	delete(p.byID, id)
+	for n, q := range p.proxies {
+		if q == gone {
+			p.proxies = append(p.proxies[:n:n], p.proxies[n+1:]...)
+			break
+		}
+	}
+	for n := range p.receipts {
+		delete(p.receipts[n].waiting, gone)
+	}
+}
+
+func keep(sums []sum, s sum) []sum {
+	if len(sums) >= keepSamples {
+		sums = append(sums[:0:0], sums[1:]...)
+	}
+	return append(sums, s)
+}
+
+// Heard is what the proxies of a zone met at a server; the zones of one period are added up, since a
+// zone with few flows would hear mostly noise.
+func (p *Planner) Heard(name string, zone, count, failed int, latency, covers float64) {
+	s := p.byName[name]
+	if s == nil || count <= 0 {
+		return
+	}
+	if n := len(p.fleetHeard); n == 0 || p.now-p.fleetHeard[n-1] > p.set.ReportEveryMs/2 {
+		p.fleetHeard = append(p.fleetHeard, p.now)
+		if n >= keepSamples {
+			p.fleetHeard = append(p.fleetHeard[:0:0], p.fleetHeard[1:]...)
+		}
+	}
+	a := sum{p.now, float64(count), float64(failed), latency, covers}
+	if n := len(s.sums); n > 0 && p.now-s.sums[n-1].at <= p.set.ReportEveryMs/2 {
+		b := &s.sums[n-1]
+		if good := a.count - a.failed + b.count - b.failed; good > 0 {
+			b.latency = (a.latency*(a.count-a.failed) + b.latency*(b.count-b.failed)) / good
+		}
+		b.count, b.failed, b.covers = a.count+b.count, a.failed+b.failed, math.Max(a.covers, b.covers)
+		return
+	}
+	s.sums = keep(s.sums, a)
+}
+
+// Usage is what came to a proxy of one traffic group.
+func (p *Planner) Usage(id, group, count, failed int, covers float64) {
+	if q := p.byID[id]; q != nil && group >= 0 && group < len(q.usage) {
+		q.usage[group] = keep(q.usage[group], sum{p.now, float64(count), float64(failed), 0, covers})
+	}
+}
+
+// Applied is the answer to a Receipt.
+func (p *Planner) Applied(id, number int, took float64) {
+	for n, r := range p.receipts {
+		if r.number == number {
+			delete(r.waiting, p.byID[id])
+			p.slow = p.now > r.due
+			if len(r.waiting) == 0 {
+				p.receipts = append(p.receipts[:n:n], p.receipts[n+1:]...)
+			}
+			return
+		}
+	}
+}
+
+// Probed is the result of a Probe.
+func (p *Planner) Probed(name string, delivered bool) {
+	if s := p.byName[name]; s != nil {
+		s.alive = delivered
+	}
+}
+
+// Next makes at most one decision and says whether it made one.
+func (p *Planner) Next(h Host) bool {
+	if p.now-p.thoughtAt >= wakeMs || p.unsolved {
+		p.thoughtAt = p.now
+		p.judge()
+		p.levelIfDue()
+		p.solveIfDue()
+	}
+	return p.follow(h) || p.withdraw(h) || p.bind(h) || p.rescue(h) || p.readmit(h) || p.admit(h) ||
+		p.publish(h) || p.probe(h) || p.receipt(h) || p.wake(h)
+}
+
+// ---- the list ----
+
+// follow keeps a subscription where the list comes only to those who ask, and paces repeated calls.
+func (p *Planner) follow(h Host) bool {
+	if !p.set.MustFollow || p.following || p.now < p.followAt {
+		return false
+	}
+	p.followAt = p.now + math.Max(p.askWait, p.set.AskWithinMs/3)
+	h.Follow()
+	return true
+}
+
+// usable servers are listed ready and not judged bad.
+func (s *server) usable() bool { return s.State == Ready && !s.bad }
+
+// mustOut says that proxies may not send there: it drains, is gone, or was judged bad.
+func (s *server) mustOut() bool { return !s.usable() }
+
+// ramp is the part of its cap that a server may be given: a cold one starts low and doubles.
+func (p *Planner) ramp(s *server) float64 {
+	age := p.now - s.rampFrom
+	if age >= p.set.WarmUpMs {
+		return 1
+	}
+	return math.Min(1, shyness*p.set.ColdShare*math.Exp2(math.Max(age, 0)/doubleMs))
+}
+
+// ---- what is heard, worked out ----
+
+// recent adds up the sums of a server after its last verdict, return or start.
+func (p *Planner) recent(s *server, span float64) (count, failed, latency float64) {
+	var good float64
+	for _, a := range s.sums {
+		if a.at > s.since && a.at > p.now-span {
+			count, failed = count+a.count, failed+a.failed
+			good += a.count - a.failed
+			latency += a.latency * (a.count - a.failed)
+		}
+	}
+	if good > 0 {
+		latency /= good
+	}
+	return count, failed, latency
+}
+
+// floor is the lowest latency heard lately, the paper's L; 0 when unheard.
+func (s *server) floor() float64 {
+	low := 0.0
+	for _, a := range s.sums {
+		if a.count-a.failed >= 2 && (low == 0 || a.latency < low) {
+			low = a.latency
+		}
+	}
+	return low
+}
+
+// fleet is the middle latency of servers in use, and the share of all flows dropped.
+func (p *Planner) fleet(span float64) (middle, mean, drops float64) {
+	var all []float64
+	var count, failed, sum float64
+	for _, s := range p.servers {
+		if !s.usable() {
+			continue
+		}
+		c, f, l := p.recent(s, span)
+		count, failed, sum = count+c, failed+f, sum+l*(c-f)
+		if l > 0 {
+			all = append(all, l)
+		}
+	}
+	if len(all) == 0 {
+		return 0, 0, 0
+	}
+	sort.Float64s(all)
+	return all[len(all)/2], sum / math.Max(count-failed, 1), failed / math.Max(count, 1)
+}
+
+// demand is the paper's D: flows per second of a client's joined proxies.
+func (p *Planner) demand(c *client) float64 {
+	d := 0.0
+	for _, q := range p.proxies {
+		if q.zone != c.zone {
+			continue
+		}
+		var count, covers float64
+		for _, a := range q.usage[c.group] {
+			if a.at > p.now-windowMs {
+				count, covers = count+a.count, covers+a.covers
+			}
+		}
+		if covers > 0 {
+			d += count / covers * 1000
+		} else {
+			d += q.usual / float64(len(p.set.Groups))
+		}
+	}
+	return d * math.Min(p.levels[c.group].want, 1)
+}
+
+// ---- the split ----
+
+// fit is how much of its nominal cap a server is given: the fleet's middle latency over its own. It falls
+// with queues as well as with slowness, so that caps follow true speed without knowing utilisation.
+func (p *Planner) fit(s *server, middle float64) float64 {
+	count, failed, latency := p.recent(s, windowMs)
+	if latency == 0 || middle == 0 || count < 4 {
+		return 1
+	}
+	sure := count / (count + 10) // few flows say little
+	f := middle / latency * (1 - failed/count)
+	return math.Min(math.Max(math.Pow(f, sure), capLeast), capMost)
+}
+
+func (p *Planner) solveIfDue() {
+	wait := solveEveryMs
+	if p.unsolved {
+		wait = soonMs
+	}
+	if len(p.servers) == 0 || p.now-p.solvedAt < wait {
+		return
+	}
+	changed := p.unsolved
+	p.solvedAt, p.unsolved = p.now, false
+	p.solves++
+	var js []*server
+	for _, s := range p.servers {
+		if s.usable() {
+			js = append(js, s)
+		}
+	}
+	p.split(js, changed)
+	for _, c := range p.clients {
+		c.tables[p.solves%copies].due = true
+	}
+}
+
+// split solves for all clients and sets what their tables should hold.
+func (p *Planner) split(js []*server, changed bool) {
+	I, J := len(p.clients), len(js)
+	D, C := make([]float64, I), make([]float64, J)
+	cost, open := make([][]float64, I), make([][]bool, I)
+	alpha, beta, lambda := make([][]float64, I), make([][]float64, I), make([][]float64, I)
+	total := 0.0
+	for i, c := range p.clients {
+		D[i] = p.demand(c)
+		total += D[i]
+	}
+	if total == 0 {
+		total = 1
+	}
+	middle, _, _ := p.fleet(windowMs)
+	warm, cold, size := 0.0, 0.0, 0.0
+	for _, s := range js {
+		size += math.Max(s.Size, 1e-6)
+	}
+	for j, s := range js {
+		C[j] = math.Max(s.Size, 1e-6) / size * total * p.fit(s, middle)
+		if r := p.ramp(s); r < 1 {
+			C[j] *= r
+			cold += C[j]
+		} else {
+			warm += C[j]
+		}
+	}
+	// Caps below demand scale up, those of cold servers never: they would be pushed over.
+	for j, s := range js {
+		if p.ramp(s) >= 1 && warm > 0 {
+			C[j] *= math.Max(total*headroom-cold, total*0.5) / warm
+		}
+	}
+	unit := total / float64(I)
+	for j := range C {
+		C[j] /= unit
+	}
+	for i, c := range p.clients {
+		D[i] = math.Max(D[i]/unit, leastDemand)
+		cost[i], open[i] = make([]float64, J), make([]bool, J)
+		alpha[i], beta[i], lambda[i] = make([]float64, J), make([]float64, J), make([]float64, J)
+		var sumL, n, caps float64
+		for j, s := range js {
+			open[i][j] = !c.row.OnlyZone || s.Zone == c.zone
+			if L := s.floor(); L > 0 {
+				sumL, n = sumL+L, n+1
+			}
+			if open[i][j] {
+				caps += C[j]
+			}
+		}
+		meanL := 0.0
+		if n > 0 {
+			meanL = sumL / n
+		}
+		for j, s := range js {
+			L := s.floor()
+			if L == 0 {
+				L = meanL
+			}
+			if s.Zone != c.zone {
+				L += p.set.CrossPrice * c.row.BudgetMs
+			}
+			cost[i][j] = L / math.Max(meanL, c.row.BudgetMs/10) / float64(J) * step
+			if x := c.cells[s]; x != nil && !changed {
+				alpha[i][j], beta[i][j], lambda[i][j] = x.alpha, x.beta, x.lambda
+			} else if open[i][j] && caps > 0 {
+				alpha[i][j] = C[j] / caps
+				beta[i][j] = alpha[i][j]
+			}
+		}
+	}
+	solve(D, C, cost, open, alpha, beta, lambda, lambdaMost/math.Max(float64(J), 1))
+	load := make([]float64, J)
+	for i := range p.clients {
+		for j := range js {
+			load[j] += alpha[i][j] * D[i]
+		}
+	}
+	for i, c := range p.clients {
+		c.cells = map[*server]*cell{}
+		share := make([]float64, J)
+		for j, s := range js {
+			c.cells[s] = &cell{alpha[i][j], beta[i][j], lambda[i][j]}
+			share[j] = alpha[i][j]
+			// Guards a cold server's budget: a split cut off after 20 iterations may exceed its cap.
+			if p.ramp(s) < 1 && load[j] > C[j] {
+				share[j] *= C[j] / load[j]
+			}
+		}
+		p.wants(c, js, share, open[i])
+	}
+}
+
+// wants turns a client's shares into what its tables should hold: no tiny lines, but enough lines.
+func (p *Planner) wants(c *client, js []*server, share []float64, open []bool) {
+	order := make([]int, 0, len(js))
+	for j := range js {
+		if open[j] {
+			order = append(order, j)
+		}
+	}
+	sort.SliceStable(order, func(a, b int) bool { return share[order[a]] > share[order[b]] })
+	want := map[*server]float64{}
+	for n, j := range order {
+		if share[j] >= tiny || n < leastLines || (p.ramp(js[j]) < 1 && share[j] > tiny/10) {
+			want[js[j]] = math.Round(math.Max(share[j], tiny/4)*1e4) / 1e4
+		}
+	}
+	for _, t := range c.tables {
+		t.want = want
+	}
+}
+
+// solve runs ADMM with rho 1. Alpha, beta and lambda are warm and updated in place; D averages 1.
+func solve(D, C []float64, cost [][]float64, open [][]bool, alpha, beta, lambda [][]float64, most float64) {
+	I, J := len(D), len(C)
+	x, d, v := make([]float64, 0, I+J), make([]float64, 0, I+J), make([]float64, 0, I+J)
+	for it := 0; it < iterations && J > 0; it++ {
+		for i := range D { // Lemma 3
+			x = x[:0]
+			for j := range C {
+				if open[i][j] {
+					x = append(x, beta[i][j]-D[i]*cost[i][j]-lambda[i][j])
+				}
+			}
+			mu := simplex(x, &v)
+			n := 0
+			for j := range C {
+				alpha[i][j] = 0
+				if open[i][j] {
+					alpha[i][j] = math.Max(x[n]-mu, 0)
+					n++
+				}
+			}
+		}
+		for j := range C { // Lemma 1 with prices zero
+			x, d = x[:0], d[:0]
+			for i := range D {
+				x, d = append(x, math.Max(lambda[i][j]+alpha[i][j], 0)), append(d, D[i])
+			}
+			nu := knapsack(x, d, C[j])
+			for i := range D {
+				beta[i][j] = math.Max(x[i]-D[i]*nu, 0)
+				l := lambda[i][j] + alpha[i][j] - beta[i][j]
+				lambda[i][j] = math.Min(math.Max(l, -most), most)
+			}
+		}
+	}
+}
+
+// simplex finds mu with sum of max(x-mu, 0) = 1, exactly.
+func simplex(x []float64, buf *[]float64) float64 {
+	v := append((*buf)[:0], x...)
+	*buf = v
+	sort.Sort(sort.Reverse(sort.Float64Slice(v)))
+	sum, mu := 0.0, 0.0
+	for n, a := range v {
+		sum += a
+		if m := (sum - 1) / float64(n+1); n == 0 || a > m {
+			mu = m
+		}
+	}
+	return mu
+}
+
+// knapsack finds nu >= 0 with sum of D*max(x - D*nu, 0) = C where that sum exceeds C at nu 0, exactly.
+func knapsack(x, D []float64, C float64) float64 {
+	order := make([]int, 0, len(x))
+	sumDX, sumDD := 0.0, 0.0
+	for i := range x {
+		if x[i] > 0 && D[i] > 0 {
+			order = append(order, i)
+			sumDX, sumDD = sumDX+D[i]*x[i], sumDD+D[i]*D[i]
+		}
+	}
+	if sumDX <= C {
+		return 0
+	}
+	sort.SliceStable(order, func(a, b int) bool { return x[order[a]]/D[order[a]] < x[order[b]]/D[order[b]] })
+	for _, i := range order {
+		nu := (sumDX - C) / sumDD
+		if nu <= x[i]/D[i] {
+			return nu
+		}
+		sumDX, sumDD = sumDX-D[i]*x[i], sumDD-D[i]*D[i]
+	}
+	return math.Inf(1)
+}
+
+// ---- health ----
+
+// judge runs the sequential test on each server's sums and calls off verdicts that are served.
+func (p *Planner) judge() {
+	fleet, out := 0, 0
+	for _, s := range p.servers {
+		if s.State == Ready {
+			fleet++
+			if s.bad {
+				out++
+			}
+		}
+	}
+	middle, _, drops := p.fleet(windowMs)
+	for _, s := range p.servers {
+		if s.State != Ready {
+			continue
+		}
+		if s.bad {
+			if p.now >= s.badUntil && (!p.set.CanProbe || s.alive) {
+				// A careful return: like a cold server, whatever was wrong with it.
+				s.bad, s.since, s.rampFrom, p.unsolved = false, p.now, p.now, true
+			}
+			continue
+		}
+		if p.evidence(s, middle, drops) < verdict {
+			continue
+		}
+		// Many bad servers at once are more likely a fault of what we hear: a cut, a jam, stale news.
+		if float64(out+1) > outMost*float64(fleet) {
+			continue
+		}
+		out++
+		s.bad, s.alive, s.since, p.unsolved = true, false, p.now, true
+		s.badUntil = p.now + math.Min(outMs*math.Exp2(float64(s.verdicts)), outLongest)
+		s.verdicts++
+	}
+}
+
+// evidence is a CUSUM of log likelihood ratios: failing against sound, by drops, lateness and silence.
+// The fleet's own share of drops counts as sound, so that an overload condemns nobody.
+func (p *Planner) evidence(s *server, middle, drops float64) float64 {
+	good := math.Min(math.Max(goodShare, 2*drops), 0.8)
+	bad := math.Max(badShare, (1+good)/2)
+	bud := p.budget()
+	score := 0.0
+	n := 0
+	expect := p.expected(s) * p.set.ReportEveryMs / 1000
+	for _, at := range p.fleetHeard {
+		for n < len(s.sums) && s.sums[n].at < at-p.set.ReportEveryMs/2 {
+			n++
+		}
+		if at <= s.since+p.set.LongestWayMs+p.set.ReportEveryMs {
+			continue
+		}
+		add := 0.0
+		if n < len(s.sums) && s.sums[n].at < at+p.set.ReportEveryMs/2 {
+			a := s.sums[n]
+			f := a.failed
+			if a.latency > bud && middle < bud/2 {
+				f = a.count // answers too late to be of use, where others answer in time
+			}
+			add = f*math.Log(bad/good) + (a.count-f)*math.Log((1-bad)/(1-good))
+		} else {
+			// Silence where flows were sent is evidence of a hang, not of health.
+			add = expect * bad
+		}
+		score = math.Max(0, score+math.Max(-sumMost, math.Min(add, sumMost)))
+	}
+	return score
+}
+
+// expected is the rate of flows that our tables send to a server.
+func (p *Planner) expected(s *server) float64 {
+	if s.out {
+		return 0
+	}
+	rate := 0.0
+	for _, c := range p.clients {
+		for n, t := range c.tables {
+			sum := 0.0
+			for o, w := range t.lines {
+				if !o.out {
+					sum += w
+				}
+			}
+			if t.lines[s] > 0 && sum > 0 {
+				rate += t.lines[s] / sum * p.demandOf(c, n)
+			}
+		}
+	}
+	return rate
+}
+
+// demandOf is the part of a client's demand on one copy of its table.
+func (p *Planner) demandOf(c *client, copy int) float64 {
+	all, here := 0.0, 0.0
+	for _, q := range p.proxies {
+		if q.zone == c.zone {
+			all += q.usual + 0.01
+			if q.copy == copy {
+				here += q.usual + 0.01
+			}
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return p.demand(c) * here / all
+}
+
+// budget is the mean latency budget of flows.
+func (p *Planner) budget() float64 {
+	sum, n := 0.0, 0.0
+	for _, c := range p.clients {
+		d := p.demand(c) + 0.01
+		sum, n = sum+c.row.BudgetMs*d, n+d
+	}
+	return sum / math.Max(n, 0.001)
+}
+
+// ---- levels ----
+
+// levelIfDue moves the share of flows let in: down while answers come late or not at all, up when calm.
+// The traffic groups that earn least for their work, by utility for latency budget, give way first.
+func (p *Planner) levelIfDue() {
+	if !p.set.CanAdmit || p.now-p.levelAt < levelMs {
+		return
+	}
+	p.levelAt = p.now
+	_, mean, drops := p.fleet(levelMs + p.set.ReportEveryMs)
+	came, let := make([]float64, len(p.levels)), 0.0
+	all := 0.0
+	for _, c := range p.clients {
+		d := p.demand(c)
+		came[c.group] += d / p.levels[c.group].want
+		let += d
+	}
+	for _, d := range came {
+		all += d
+	}
+	if all == 0 || mean == 0 {
+		return
+	}
+	share := let / all
+	switch late := mean / p.budget(); {
+	case late > jam || drops > dropsMost:
+		share *= 1 - levelDown
+	case late < calm && drops < dropsMost/2:
+		share = math.Min(1, share+levelUp)
+	}
+	order := make([]int, len(came))
+	for g := range order {
+		order[g] = g
+	}
+	yield := func(g int) float64 { return p.set.Groups[g].Utility / p.set.Groups[g].BudgetMs }
+	sort.SliceStable(order, func(a, b int) bool { return yield(order[a]) < yield(order[b]) })
+	cut := (1 - share) * all
+	for _, g := range order {
+		here := math.Min(cut, came[g]*(1-levelEach))
+		p.levels[g].want = 1
+		if here > 0 {
+			p.levels[g].want = math.Round((1-here/came[g])*20) / 20
+		}
+		cut -= here
+	}
+}
+
+// retry is the boldest mode that no repeat rule can be broken by.
+func (p *Planner) retry(g int) int {
+	if p.set.Groups[g].Repeat == Retriable {
+		return p.set.DefaultRetry
+	}
+	return min(p.set.DefaultRetry, RetryProven)
+}
+
+func (p *Planner) admit(h Host) bool {
+	for g := range p.levels {
+		l := &p.levels[g]
+		if l.want == l.sent || (l.sent >= 0 && !p.pay(1, p.proxies, false)) {
+			continue
+		}
+		l.sent = l.want
+		h.Admit(AllTables, g, l.want, p.retry(g))
+		return true
+	}
+	return false
+}
+
+// ---- the channel ----
+
+// queue is how many lines wait, with heads, as the channel would have drained them since.
+func (p *Planner) queue() float64 {
+	rate := p.set.ChannelRate / 1000
+	for n := 0; n < len(p.receipts); n++ {
+		if r := p.receipts[n]; p.now > r.due && len(r.waiting) > 0 {
+			p.slow = true
+			if p.now > r.due+10*p.set.LongestWayMs {
+				p.receipts = append(p.receipts[:n:n], p.receipts[n+1:]...)
+				n--
+			}
+		}
+	}
+	if p.slow {
+		rate /= slowest
+	}
+	p.waiting = math.Max(0, p.waiting-(p.now-p.countedAt)*rate)
+	p.countedAt = p.now
+	return p.waiting
+}
+
+// pay counts an order of so many lines to each of some proxies, if the channel and they have room for it.
+// Urgent work keeps the hard limits, tidy work leaves most of the room to it.
+func (p *Planner) pay(lines float64, to []*proxy, urgent bool) bool {
+	cost := 0.0
+	room, messages := p.set.MostWaiting*urgentShare, p.set.MostMessages-1
+	if !urgent {
+		room, messages = p.set.MostWaiting*tidyShare, p.set.MostMessages/2
+	}
+	for _, q := range to {
+		cost += lines
+		if n := len(q.sent); n > 0 && q.sent[n-1] == p.now {
+			continue
+		}
+		cost += p.set.HeadLines
+		recent := 0
+		for _, at := range q.sent {
+			if at > p.now-p.set.MessageSpanMs {
+				recent++
+			}
+		}
+		if p.set.MostMessages > 0 && recent >= messages {
+			return false
+		}
+	}
+	if waiting := p.queue(); waiting+cost > room && (waiting > 0 || !urgent) {
+		return false
+	}
+	p.waiting += cost
+	for _, q := range to {
+		if n := len(q.sent); n == 0 || q.sent[n-1] != p.now {
+			if len(q.sent) > p.set.MostMessages {
+				q.sent = append(q.sent[:0:0], q.sent[1:]...)
+			}
+			q.sent = append(q.sent, p.now)
+		}
+	}
+	return true
+}
+
+// users are the proxies bound to a table.
+func (p *Planner) users(t *table) []*proxy {
+	var to []*proxy
+	for _, q := range p.proxies {
+		if q.bound[t.client.group] == t {
+			to = append(to, q)
+		}
+	}
+	return to
+}
+
+// ---- orders ----
+
+// withdraw shuts out servers that drain, are gone or were judged bad.
+func (p *Planner) withdraw(h Host) bool {
+	for _, s := range p.servers {
+		if s.mustOut() && !s.out && p.pay(1, p.proxies, true) {
+			s.out = true
+			h.Withdraw(s.Server, true)
+			return true
+		}
+	}
+	return false
+}
+
+// setLine sends one line of a table.
+func (p *Planner) setLine(h Host, t *table, s *server) bool {
+	w := t.want[s]
+	if w == 0 {
+		delete(t.lines, s)
+	} else {
+		t.lines[s] = w
+	}
+	h.SetLine(t.number, s.Server, w)
+	return true
+}
+
+// change is the next line of a table to send: additions before removals, so that no table runs bare.
+func (p *Planner) change(t *table, least float64) *server {
+	var drop *server
+	for _, s := range p.servers {
+		w, l := t.want[s], t.lines[s]
+		if w > 0 && math.Abs(w-l) > least*l {
+			return s
+		}
+		if w == 0 && l > 0 && drop == nil {
+			drop = s
+		}
+	}
+	if len(t.want) == 0 {
+		return nil // never empty a table
+	}
+	return drop
+}
+
+// bind hands newly joined proxies their tables, whole.
+func (p *Planner) bind(h Host) bool {
+	if p.set.Sliced {
+		return false
+	}
+	for _, q := range p.proxies {
+		for g := range q.bound {
+			if q.bound[g] != nil || q.zone < 0 || q.zone >= p.set.Zones {
+				continue
+			}
+			t := p.clients[q.zone*len(p.set.Groups)+g].tables[q.copy]
+			if len(t.want) == 0 {
+				continue
+			}
+			if len(p.users(t)) == 0 {
+				if s := p.change(t, 0); s != nil {
+					return p.setLine(h, t, s)
+				}
+			}
+			lines := 1.0 + float64(len(t.lines)+len(p.levels))
+			for s := range t.lines {
+				if s.out {
+					lines++
+				}
+			}
+			if !p.pay(lines, []*proxy{q}, true) {
+				return false
+			}
+			q.bound[g] = t
+			h.Bind(q.id, t.number, g)
+			return true
+		}
+	}
+	return false
+}
+
+// rescue sends lines that cannot wait for their copy's turn: those that hold too much of a cold server,
+// and those of a table that has lost much of its weight.
+func (p *Planner) rescue(h Host) bool {
+	if p.unsolved {
+		return false
+	}
+	for _, c := range p.clients {
+		for _, t := range c.tables {
+			to := p.users(t)
+			if len(to) == 0 {
+				continue
+			}
+			missing, all, live := 0.0, 0.0, 0
+			for _, s := range p.servers {
+				w, l := t.want[s], t.lines[s]
+				if p.ramp(s) < 1 && l > 1.5*w+tiny/4 && s.usable() && len(t.lines) > 1 && p.pay(1, to, true) {
+					return p.setLine(h, t, s)
+				}
+				if l > 0 && !s.out {
+					live++
+				}
+				missing, all = missing+math.Max(w-l, 0), all+w
+			}
+			if missing > 0.4*all || live < min(2, len(t.want)) {
+				if s := p.change(t, notable); s != nil && p.pay(1, to, true) {
+					return p.setLine(h, t, s)
+				}
+			}
+		}
+	}
+	return false
+}
+
+// readmit lets a withdrawn server back once no table holds more of it than its ramp allows.
+func (p *Planner) readmit(h Host) bool {
+	for _, s := range p.servers {
+		if !s.out || s.mustOut() || p.unsolved {
+			continue
+		}
+		ready := true
+		for _, c := range p.clients {
+			for _, t := range c.tables {
+				ready = ready && t.lines[s] <= 1.5*t.want[s]+tiny/4
+			}
+		}
+		if ready && p.pay(1, p.proxies, true) {
+			s.out = false
+			h.Withdraw(s.Server, false)
+			return true
+		}
+	}
+	return false
+}
+
+// publish sends the notable changes of the copy whose turn it is.
+func (p *Planner) publish(h Host) bool {
+	for _, c := range p.clients {
+		for _, t := range c.tables {
+			to := p.users(t)
+			if !t.due || len(to) == 0 {
+				continue
+			}
+			s := p.change(t, notable)
+			if s == nil {
+				t.due = false
+			} else if p.pay(1, to, false) {
+				return p.setLine(h, t, s)
+			}
+		}
+	}
+	return false
+}
+
+// probe asks after servers that are out, where that is allowed.
+func (p *Planner) probe(h Host) bool {
+	for _, s := range p.servers {
+		if p.set.CanProbe && s.bad && s.State == Ready && p.now-math.Max(s.since, s.probedAt) >= probeMs {
+			s.probedAt = p.now
+			h.Probe(s.Server)
+			return true
+		}
+	}
+	return false
+}
+
+// receipt asks how long the messages of this tick take, to learn whether the channel is slow.
+func (p *Planner) receipt(h Host) bool {
+	if p.asked >= 0 {
+		return false
+	}
+	var to []*proxy
+	for _, q := range p.proxies {
+		if n := len(q.sent); n > 0 && q.sent[n-1] == p.now {
+			to = append(to, q)
+		}
+	}
+	if len(to) == 0 || !p.pay(1, to, false) {
+		return false
+	}
+	p.nextReceipt = (p.nextReceipt + 1) % 65536
+	r := receipt{p.nextReceipt, 0, map[*proxy]bool{}}
+	for _, q := range to {
+		r.waiting[q] = true
+	}
+	r.due = p.now + p.waiting/p.set.ChannelRate*1000 + p.set.LongestWayMs + lateMs
+	p.asked = p.nextReceipt
+	p.receipts = append(p.receipts, r)
+	h.Receipt(p.nextReceipt)
+	return true
+}
+
+func (p *Planner) wake(h Host) bool {
+	if p.now < p.wakeAt {
+		return false
+	}
+	p.wakeAt = p.now + wakeMs
+	h.Wake(wakeMs)
+	return true
+}
--- /dev/null
+++ b/cmd/adapter/main.go
@@ -0,0 +1,16 @@
+// Command adapter hosts planners on the simulator's wire, on standard input and output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"lichenpick/internal/wire"
+)
+
+func main() {
+	if err := wire.Serve(os.Stdin, os.Stdout, os.Stderr); err != nil {
+		fmt.Fprintln(os.Stderr, "adapter:", err)
+		os.Exit(1)
+	}
+}
