Judge by near-total failure, return in three periods, levels from the delivered rate

Now a server is out only when nearly all fails or it is silent; slow ones lose share by their cap. Levels follow what is delivered in a jam.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,8 +17,8 @@
 	solveEveryMs = 2500.0 // ms; half the design's 5 s: two copies then give each proxy news every 5 s
 	soonMs       = 400.0  // ms; least time between solves that the list or health asks for, gathers changes
 	iterations   = 20     // the paper's ADMM-20
-	headroom     = 1.1    // sum of caps over demand; the design's figure
-	step         = 1.0    // cost of an average line in units of an average share, so that rho 1 converges
+	headroom     = 1.05   // sum of caps over demand; the design's figure
+	step         = 0.3    // cost of an average line in units of an average share, so that rho 1 converges
 	lambdaMost   = 4.0    // in the same unit; a price beyond it outlives the jam that made it
 	leastDemand  = 0.02   // share of a client's fair part; an idle client still needs a sound table
 	copies       = 2      // staged copies of a client's table; half the proxies try a split first
@@ -28,7 +28,7 @@
 
 	// What is heard.
 	keepSamples = 24     // sums kept of each server and proxy; a floor is sought in all of them
-	windowMs    = 8000.0 // ms; some 40 flows a server at the smallest sites: a mean within a sixth
+	windowMs    = 5000.0 // ms; some 25 flows a server at the smallest sites: a mean within a sixth
 	capLeast    = 0.08   // part of a nominal cap; less would leave a slow server unheard
 	capMost     = 1.6    // part of a nominal cap; listed sizes are rough but not twice wrong
 	doubleMs    = 5000.0 // ms; the design's doubling time of a new server's cap
@@ -37,11 +37,13 @@
 	// Health.
 	verdict    = 8.0    // nats; a false alarm in some 3,000 sums, a dead server is out after two or three
 	sumMost    = 4.0    // nats that a single sum may add; one odd report is never enough
-	badShare   = 0.5    // share of drops that a failing server is tested for
-	goodShare  = 0.04   // least share of drops that a sound server is thought to have
+	badShare   = 0.9    // share of drops that a failing server is tested for
+	goodShare  = 0.1    // least share of drops that a sound server is thought to have
 	outMost    = 0.3    // part of the fleet out at once; beyond it the evidence is doubted
 	outMs      = 5000.0 // ms; first stay out, doubled with each verdict: most hangs last 5 to 20 s
 	outLongest = 20000.0
+	trialShare = 0.2    // part of its cap that a server is let back with; a second verdict costs little
+	trialMs    = 1500.0 // ms in which that part doubles; full again in some three report periods
 	probeMs    = 1500.0 // ms between probes of a server that is out; they cost it work
 
 	// Levels.
@@ -49,8 +51,9 @@
 	jam       = 0.5    // mean latency over latency budget above which a tenth or so is late
 	calm      = 0.35   // and below which levels may rise
 	dropsMost = 0.12   // share of flows dropped that means overload rather than chance
-	levelDown = 0.15   // step of the total admitted; a burst is 1.3 to 2 times the usual
-	levelUp   = 0.08   // smaller than the step down, so that a jam has drained first
+	levelDown = 0.6    // most that one step may cut the flows let in to; sums may be late
+	drain     = 0.95   // part of the delivered rate let in during a jam, so that it drains
+	levelUp   = 1.15   // times more let in when calm; some four steps undo a step down
 	levelEach = 0.1    // least level of a traffic group; some of it shows whether the jam is over
 
 	// The channel.
@@ -75,6 +78,7 @@
 	verdicts int
 	alive    bool // a probe was answered since the verdict
 	probedAt float64
+	tried    float64 // when it was let back after a verdict
 	rampFrom float64 // its cap starts low here; -Inf for a warm server
 }
 
@@ -201,7 +205,7 @@
 		seen[e.Server] = true
 		s := p.byName[e.Server]
 		if s == nil {
-			s = &server{since: p.now, rampFrom: math.Inf(-1)}
+			s = &server{since: p.now, tried: math.Inf(-1), rampFrom: math.Inf(-1)}
 			if e.BornMs > 0 {
 				s.rampFrom = e.BornMs
 			}
@@ -209,7 +213,7 @@
 			p.servers = append(p.servers, s)
 		} else if e.State == Ready && (e.BornMs > s.BornMs || s.State == Gone) {
 			// A server that came back cold under its old name: nothing heard of it holds any more.
-			*s = server{out: s.out, since: p.now, rampFrom: math.Max(e.BornMs, p.now-p.set.WarmUpMs)}
+			*s = server{out: s.out, since: p.now, tried: math.Inf(-1), rampFrom: math.Max(e.BornMs, p.now-p.set.WarmUpMs)}
 		}
 		s.Entry = e
 	}
@@ -349,11 +353,11 @@
 
 // ramp is the part of its cap that a server may be given: a cold one starts low and doubles.
 func (p *Planner) ramp(s *server) float64 {
-	age := p.now - s.rampFrom
-	if age >= p.set.WarmUpMs {
-		return 1
+	part := math.Min(1, trialShare*math.Exp2((p.now-s.tried)/trialMs))
+	if age := p.now - s.rampFrom; age < p.set.WarmUpMs {
+		part = math.Min(part, shyness*p.set.ColdShare*math.Exp2(math.Max(age, 0)/doubleMs))
 	}
-	return math.Min(1, shyness*p.set.ColdShare*math.Exp2(math.Max(age, 0)/doubleMs))
+	return part
 }
 
 // ---- what is heard, worked out ----
@@ -378,7 +382,7 @@
 func (s *server) floor() float64 {
 	low := 0.0
 	for _, a := range s.sums {
-		if a.count-a.failed >= 2 && (low == 0 || a.latency < low) {
+		if a.at > s.since && a.count-a.failed >= 2 && (low == 0 || a.latency < low) {
 			low = a.latency
 		}
 	}
@@ -669,19 +673,18 @@
 			}
 		}
 	}
-	middle, _, drops := p.fleet(windowMs)
+	_, _, drops := p.fleet(windowMs)
 	for _, s := range p.servers {
 		if s.State != Ready {
 			continue
 		}
 		if s.bad {
 			if p.now >= s.badUntil && (!p.set.CanProbe || s.alive) {
-				// A careful return: like a cold server, whatever was wrong with it.
-				s.bad, s.since, s.rampFrom, p.unsolved = false, p.now, p.now, true
+				s.bad, s.since, s.tried, p.unsolved = false, p.now, p.now, true
 			}
 			continue
 		}
-		if p.evidence(s, middle, drops) < verdict {
+		if p.evidence(s, drops) < verdict {
 			continue
 		}
 		// Many bad servers at once are more likely a fault of what we hear: a cut, a jam, stale news.
@@ -697,10 +700,9 @@
 
 // evidence is a CUSUM of log likelihood ratios: failing against sound, by drops, lateness and silence.
 // The fleet's own share of drops counts as sound, so that an overload condemns nobody.
-func (p *Planner) evidence(s *server, middle, drops float64) float64 {
+func (p *Planner) evidence(s *server, drops float64) float64 {
 	good := math.Min(math.Max(goodShare, 2*drops), 0.8)
 	bad := math.Max(badShare, (1+good)/2)
-	bud := p.budget()
 	score := 0.0
 	n := 0
 	expect := p.expected(s) * p.set.ReportEveryMs / 1000
@@ -714,11 +716,7 @@
 		add := 0.0
 		if n < len(s.sums) && s.sums[n].at < at+p.set.ReportEveryMs/2 {
 			a := s.sums[n]
-			f := a.failed
-			if a.latency > bud && middle < bud/2 {
-				f = a.count // answers too late to be of use, where others answer in time
-			}
-			add = f*math.Log(bad/good) + (a.count-f)*math.Log((1-bad)/(1-good))
+			add = a.failed*math.Log(bad/good) + (a.count-a.failed)*math.Log((1-bad)/(1-good))
 		} else {
 			// Silence where flows were sent is evidence of a hang, not of health.
 			add = expect * bad
@@ -786,7 +784,13 @@
 		return
 	}
 	p.levelAt = p.now
-	_, mean, drops := p.fleet(levelMs + p.set.ReportEveryMs)
+	span := levelMs + p.set.ReportEveryMs/2
+	_, mean, drops := p.fleet(span)
+	good := 0.0
+	for _, s := range p.servers {
+		c, f, _ := p.recent(s, span)
+		good += (c - f) / span * 1000
+	}
 	came, let := make([]float64, len(p.levels)), 0.0
 	all := 0.0
 	for _, c := range p.clients {
@@ -803,9 +807,10 @@
 	share := let / all
 	switch late := mean / p.budget(); {
 	case late > jam || drops > dropsMost:
-		share *= 1 - levelDown
+		// What is delivered now is what the fleet can do; less than that lets the jam drain.
+		share = math.Max(share*levelDown, math.Min(share, good/all*drain))
 	case late < calm && drops < dropsMost/2:
-		share = math.Min(1, share+levelUp)
+		share = math.Min(1, share*levelUp)
 	}
 	order := make([]int, len(came))
 	for g := range order {
