Caps from listed size and floors; only a jam beyond the fleet's cuts fast

Cause: a cap that followed every mean latency formed a loop with the queue and swung; fast servers were clipped.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,7 +30,9 @@
 	keepSamples = 24     // sums kept of each server and proxy; a floor is sought in all of them
 	windowMs    = 5000.0 // ms; some 25 flows a server at the smallest sites: a mean within a sixth
 	capLeast    = 0.08   // part of a nominal cap; less would leave a slow server unheard
-	capMost     = 1.6    // part of a nominal cap; listed sizes are rough but not twice wrong
+	capMost     = 2.5    // part of a nominal cap; listed sizes are rough but not twice wrong
+	sureAfter   = 3      // sums after which a floor counts half; fewer are chance
+	jamSlack    = 1.5    // times the fleet's ratio of latency to floor that is no jam; sums are noisy
 	doubleMs    = 5000.0 // ms; the design's doubling time of a new server's cap
 	shyness     = 0.7    // part of the cold share that a start begins with; leaves room for chance
 
@@ -378,15 +380,20 @@
 	return count, failed, latency
 }
 
-// floor is the lowest latency heard lately, the paper's L; 0 when unheard.
+// floor is the latency that a server shows when it is not jammed, the paper's L: the lower quartile of its
+// last sums, since the lowest of noisy means says little. 0 when unheard.
 func (s *server) floor() float64 {
-	low := 0.0
+	var all []float64
 	for _, a := range s.sums {
-		if a.at > s.since && a.count-a.failed >= 2 && (low == 0 || a.latency < low) {
-			low = a.latency
+		if a.at > s.since && a.count-a.failed >= 2 {
+			all = append(all, a.latency)
 		}
 	}
-	return low
+	if len(all) == 0 {
+		return 0
+	}
+	sort.Float64s(all)
+	return all[len(all)/4]
 }
 
 // fleet is the middle latency of servers in use, and the share of all flows dropped.
@@ -434,16 +441,38 @@
 
 // ---- the split ----
 
-// fit is how much of its nominal cap a server is given: the fleet's middle latency over its own. It falls
-// with queues as well as with slowness, so that caps follow true speed without knowing utilisation.
-func (p *Planner) fit(s *server, middle float64) float64 {
+// fit is a server's cap in parts of its listed size: its speed, by the floors, and less while it is jammed
+// more than the fleet is. Only the jam reacts fast: a cap that followed every latency would swing.
+func (p *Planner) fit(s *server, floor, jammed float64) float64 {
+	own := s.floor()
 	count, failed, latency := p.recent(s, windowMs)
-	if latency == 0 || middle == 0 || count < 4 {
+	if own == 0 || floor == 0 {
 		return 1
 	}
-	sure := count / (count + 10) // few flows say little
-	f := middle / latency * (1 - failed/count)
-	return math.Min(math.Max(math.Pow(f, sure), capLeast), capMost)
+	f := math.Pow(floor/own, float64(len(s.sums))/float64(len(s.sums)+sureAfter))
+	if count >= 4 && latency > 0 {
+		f *= math.Min(1, jamSlack*jammed*own/latency) * (1 - failed/count)
+	}
+	return math.Min(math.Max(f, capLeast), capMost)
+}
+
+// typical is the middle floor of servers in use, and the middle of how far latencies lie above floors.
+func (p *Planner) typical(js []*server) (floor, jammed float64) {
+	var fs, rs []float64
+	for _, s := range js {
+		if f := s.floor(); f > 0 {
+			fs = append(fs, f)
+			if _, _, l := p.recent(s, windowMs); l > 0 {
+				rs = append(rs, l/f)
+			}
+		}
+	}
+	if len(rs) == 0 {
+		return 0, 1
+	}
+	sort.Float64s(fs)
+	sort.Float64s(rs)
+	return fs[len(fs)/2], rs[len(rs)/2]
 }
 
 func (p *Planner) solveIfDue() {
@@ -483,13 +512,13 @@
 	if total == 0 {
 		total = 1
 	}
-	middle, _, _ := p.fleet(windowMs)
+	middle, jammed := p.typical(js)
 	warm, cold, size := 0.0, 0.0, 0.0
 	for _, s := range js {
 		size += math.Max(s.Size, 1e-6)
 	}
 	for j, s := range js {
-		C[j] = math.Max(s.Size, 1e-6) / size * total * p.fit(s, middle)
+		C[j] = math.Max(s.Size, 1e-6) / size * total * p.fit(s, middle, jammed)
 		if r := p.ramp(s); r < 1 {
 			C[j] *= r
 			cold += C[j]
