--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,12 +18,14 @@
 	soonMs       = 400.0  // ms; least time between solves that the list or health asks for, gathers changes
 	iterations   = 20     // the paper's ADMM-20
 	headroom     = 1.05   // sum of caps over demand; the design's figure
-	step         = 0.3    // cost of an average line in units of an average share, so that rho 1 converges
+	step         = 1.0    // cost of an average line in units of an average share, so that rho 1 converges
 	lambdaMost   = 4.0    // in the same unit; a price beyond it outlives the jam that made it
 	leastDemand  = 0.02   // share of a client's fair part; an idle client still needs a sound table
 	copies       = 2      // staged copies of a client's table; half the proxies try a split first
 	notable      = 0.25   // part of a line's weight; smaller moves are within the noise of sums
-	tiny         = 0.02   // share of a table; a smaller line costs connections and brings little
+	tiny         = 0.25   // part of an average line; a smaller one costs connections and brings little
+	shift        = 0.3    // part of all demand that moved; old prices and shares are forgotten then
+	overshoot    = 0.005  // share of a table that a cold server's line may exceed its cap by; rounding
 	leastLines   = 3      // lines a table keeps; two may be lost at once before the table is bare
 
 	// What is heard.
@@ -46,6 +48,8 @@
 	outLongest = 20000.0
 	trialShare = 0.2    // part of its cap that a server is let back with; a second verdict costs little
 	trialMs    = 1500.0 // ms in which that part doubles; full again in some three report periods
+	cutMs      = 3000.0 // ms looked back for a cut between zones; two or three report periods
+	cutDrops   = 6.0    // drops that a cut needs at least; tables send little across zones
 	probeMs    = 1500.0 // ms between probes of a server that is out; they cost it work
 
 	// Levels.
@@ -68,7 +72,15 @@
 )
 
 // sum is what proxies met at a server in one report period, or what came to a proxy.
-type sum struct{ at, count, failed, latency, covers float64 }
+type sum struct {
+	zone                               int
+	at, count, failed, latency, covers float64
+}
+
+// link is the way from the proxies of one zone to the servers of another.
+type link struct {
+	shutAt, shutFor float64
+}
 
 type server struct {
 	Entry
@@ -97,6 +109,7 @@
 	zone, group int
 	row         *TrafficGroup
 	cells       map[*server]*cell
+	demand      float64 // at the last solve
 	tables      []*table
 }
 
@@ -127,6 +140,7 @@
 	now     float64
 	started float64
 
+	links   []link // from zone times zones plus to zone
 	servers []*server
 	byName  map[string]*server
 	proxies []*proxy // joined, in order of joining
@@ -163,6 +177,10 @@
 			p.levels[g].sent = -1 // proxies must be told that they may not repeat
 		}
 	}
+	p.links = make([]link, set.Zones*set.Zones)
+	for n := range p.links {
+		p.links[n].shutAt = math.Inf(-1)
+	}
 	for z := 0; z < set.Zones; z++ {
 		for g := range set.Groups {
 			c := &client{zone: z, group: g, row: &p.set.Groups[g], cells: map[*server]*cell{}}
@@ -263,18 +281,17 @@
 	}
 }
 
-func keep(sums []sum, s sum) []sum {
-	if len(sums) >= keepSamples {
+func keep(sums []sum, s sum, most int) []sum {
+	if len(sums) >= most {
 		sums = append(sums[:0:0], sums[1:]...)
 	}
 	return append(sums, s)
 }
 
-// Heard is what the proxies of a zone met at a server; the zones of one period are added up, since a
-// zone with few flows would hear mostly noise.
+// Heard is what the proxies of a zone met at a server.
 func (p *Planner) Heard(name string, zone, count, failed int, latency, covers float64) {
 	s := p.byName[name]
-	if s == nil || count <= 0 {
+	if s == nil || count <= 0 || zone < 0 || zone >= p.set.Zones || s.Zone < 0 || s.Zone >= p.set.Zones {
 		return
 	}
 	if n := len(p.fleetHeard); n == 0 || p.now-p.fleetHeard[n-1] > p.set.ReportEveryMs/2 {
@@ -283,22 +300,13 @@
 			p.fleetHeard = append(p.fleetHeard[:0:0], p.fleetHeard[1:]...)
 		}
 	}
-	a := sum{p.now, float64(count), float64(failed), latency, covers}
-	if n := len(s.sums); n > 0 && p.now-s.sums[n-1].at <= p.set.ReportEveryMs/2 {
-		b := &s.sums[n-1]
-		if good := a.count - a.failed + b.count - b.failed; good > 0 {
-			b.latency = (a.latency*(a.count-a.failed) + b.latency*(b.count-b.failed)) / good
-		}
-		b.count, b.failed, b.covers = a.count+b.count, a.failed+b.failed, math.Max(a.covers, b.covers)
-		return
-	}
-	s.sums = keep(s.sums, a)
+	s.sums = keep(s.sums, sum{zone, p.now, float64(count), float64(failed), latency, covers}, keepSamples*p.set.Zones)
 }
 
 // Usage is what came to a proxy of one traffic group.
 func (p *Planner) Usage(id, group, count, failed int, covers float64) {
 	if q := p.byID[id]; q != nil && group >= 0 && group < len(q.usage) {
-		q.usage[group] = keep(q.usage[group], sum{p.now, float64(count), float64(failed), 0, covers})
+		q.usage[group] = keep(q.usage[group], sum{q.zone, p.now, float64(count), float64(failed), 0, covers}, keepSamples)
 	}
 }
 
@@ -327,6 +335,7 @@
 func (p *Planner) Next(h Host) bool {
 	if p.now-p.thoughtAt >= wakeMs || p.unsolved {
 		p.thoughtAt = p.now
+		p.watch()
 		p.judge()
 		p.levelIfDue()
 		p.solveIfDue()
@@ -364,28 +373,42 @@
 
 // ---- what is heard, worked out ----
 
-// recent adds up the sums of a server after its last verdict, return or start.
-func (p *Planner) recent(s *server, span float64) (count, failed, latency float64) {
-	var good float64
+// periods are the sums of a server after its last verdict, return or start, the zones of one report period
+// added up, since a zone with few flows would hear mostly noise. What came over a shut link tells of the link.
+func (p *Planner) periods(s *server, span float64) []sum {
+	var out []sum
 	for _, a := range s.sums {
-		if a.at > s.since && a.at > p.now-span {
-			count, failed = count+a.count, failed+a.failed
-			good += a.count - a.failed
-			latency += a.latency * (a.count - a.failed)
+		if a.at <= s.since || a.at <= p.now-span || (a.zone != s.Zone && p.shut(a.zone, s.Zone)) {
+			continue
 		}
+		if n := len(out) - 1; n >= 0 && a.at-out[n].at <= p.set.ReportEveryMs/2 {
+			b := &out[n]
+			if good := a.count - a.failed + b.count - b.failed; good > 0 {
+				b.latency = (a.latency*(a.count-a.failed) + b.latency*(b.count-b.failed)) / good
+			}
+			b.count, b.failed = a.count+b.count, a.failed+b.failed
+			continue
+		}
+		out = append(out, a)
 	}
-	if good > 0 {
-		latency /= good
+	return out
+}
+
+// recent adds up the sums of a server.
+func (p *Planner) recent(s *server, span float64) (count, failed, latency float64) {
+	for _, a := range p.periods(s, span) {
+		count, failed = count+a.count, failed+a.failed
+		latency += a.latency * (a.count - a.failed)
 	}
-	return count, failed, latency
+	return count, failed, latency / math.Max(count-failed, 1)
 }
 
 // floor is the latency that a server shows when it is not jammed, the paper's L: the lower quartile of its
 // last sums, since the lowest of noisy means says little. 0 when unheard.
-func (s *server) floor() float64 {
+func (p *Planner) floor(s *server) float64 {
 	var all []float64
-	for _, a := range s.sums {
-		if a.at > s.since && a.count-a.failed >= 2 {
+	for _, a := range p.periods(s, math.Inf(1)) {
+		if a.count-a.failed >= 2 {
 			all = append(all, a.latency)
 		}
 	}
@@ -396,25 +419,62 @@
 	return all[len(all)/4]
 }
 
-// fleet is the middle latency of servers in use, and the share of all flows dropped.
-func (p *Planner) fleet(span float64) (middle, mean, drops float64) {
-	var all []float64
-	var count, failed, sum float64
+func (p *Planner) shut(from, to int) bool {
+	l := p.links[from*p.set.Zones+to]
+	return p.now < l.shutAt+l.shutFor
+}
+
+// watch shuts the links on which nearly all fails: a cut between zones, or a zone lost. It says so of
+// the way, not of the servers, so that proxies beyond the cut keep theirs; harmful where one zone has a
+// single server that is only slow, hence the many drops asked for.
+func (p *Planner) watch() {
+	count, failed := make([]float64, len(p.links)), make([]float64, len(p.links))
 	for _, s := range p.servers {
-		if !s.usable() {
+		for _, a := range s.sums {
+			if a.at > p.now-cutMs && a.zone != s.Zone && s.usable() {
+				n := a.zone*p.set.Zones + s.Zone
+				count[n], failed[n] = count[n]+a.count, failed[n]+a.failed
+			}
+		}
+	}
+	for n := range p.links {
+		l := &p.links[n]
+		if failed[n] < cutDrops || failed[n] < badShare*count[n] || p.now < l.shutAt+l.shutFor+cutMs {
 			continue
 		}
+		if p.now < l.shutAt+l.shutFor+outLongest {
+			l.shutFor = math.Min(2*l.shutFor, outLongest)
+		} else {
+			l.shutFor = outMs
+		}
+		l.shutAt, p.unsolved = p.now, true
+	}
+}
+
+// fleet is how the middle server in use fares: its latency and its share of drops. A few dead or slow
+// servers do not move it, and a cut that hides some of them does not either.
+func (p *Planner) fleet(span float64) (latency, drops, delivered float64) {
+	var ls, ds []float64
+	for _, s := range p.servers {
 		c, f, l := p.recent(s, span)
-		count, failed, sum = count+c, failed+f, sum+l*(c-f)
+		delivered += (c - f) / span * 1000
+		if !s.usable() || c == 0 {
+			continue
+		}
+		ds = append(ds, f/c)
 		if l > 0 {
-			all = append(all, l)
+			ls = append(ls, l)
 		}
 	}
-	if len(all) == 0 {
-		return 0, 0, 0
+	return middle(ls), middle(ds), delivered
+}
+
+func middle(a []float64) float64 {
+	if len(a) == 0 {
+		return 0
 	}
-	sort.Float64s(all)
-	return all[len(all)/2], sum / math.Max(count-failed, 1), failed / math.Max(count, 1)
+	sort.Float64s(a)
+	return a[len(a)/2]
 }
 
 // demand is the paper's D: flows per second of a client's joined proxies.
@@ -444,12 +504,13 @@
 // fit is a server's cap in parts of its listed size: its speed, by the floors, and less while it is jammed
 // more than the fleet is. Only the jam reacts fast: a cap that followed every latency would swing.
 func (p *Planner) fit(s *server, floor, jammed float64) float64 {
-	own := s.floor()
+	own := p.floor(s)
+	heard := float64(len(p.periods(s, math.Inf(1))))
 	count, failed, latency := p.recent(s, windowMs)
 	if own == 0 || floor == 0 {
 		return 1
 	}
-	f := math.Pow(floor/own, float64(len(s.sums))/float64(len(s.sums)+sureAfter))
+	f := math.Pow(floor/own, heard/(heard+sureAfter))
 	if count >= 4 && latency > 0 {
 		f *= math.Min(1, jamSlack*jammed*own/latency) * (1 - failed/count)
 	}
@@ -460,19 +521,14 @@
 func (p *Planner) typical(js []*server) (floor, jammed float64) {
 	var fs, rs []float64
 	for _, s := range js {
-		if f := s.floor(); f > 0 {
+		if f := p.floor(s); f > 0 {
 			fs = append(fs, f)
 			if _, _, l := p.recent(s, windowMs); l > 0 {
 				rs = append(rs, l/f)
 			}
 		}
 	}
-	if len(rs) == 0 {
-		return 0, 1
-	}
-	sort.Float64s(fs)
-	sort.Float64s(rs)
-	return fs[len(fs)/2], rs[len(rs)/2]
+	return middle(fs), middle(rs)
 }
 
 func (p *Planner) solveIfDue() {
@@ -505,20 +561,24 @@
 	cost, open := make([][]float64, I), make([][]bool, I)
 	alpha, beta, lambda := make([][]float64, I), make([][]float64, I), make([][]float64, I)
 	total := 0.0
+	moved := 0.0
 	for i, c := range p.clients {
 		D[i] = p.demand(c)
 		total += D[i]
+		moved += math.Abs(D[i]-c.demand) / 2
+		c.demand = D[i]
 	}
+	changed = changed || moved > shift*total
 	if total == 0 {
 		total = 1
 	}
-	middle, jammed := p.typical(js)
+	typical, jammed := p.typical(js)
 	warm, cold, size := 0.0, 0.0, 0.0
 	for _, s := range js {
 		size += math.Max(s.Size, 1e-6)
 	}
 	for j, s := range js {
-		C[j] = math.Max(s.Size, 1e-6) / size * total * p.fit(s, middle, jammed)
+		C[j] = math.Max(s.Size, 1e-6) / size * total * p.fit(s, typical, jammed)
 		if r := p.ramp(s); r < 1 {
 			C[j] *= r
 			cold += C[j]
@@ -542,8 +602,8 @@
 		alpha[i], beta[i], lambda[i] = make([]float64, J), make([]float64, J), make([]float64, J)
 		var sumL, n, caps float64
 		for j, s := range js {
-			open[i][j] = !c.row.OnlyZone || s.Zone == c.zone
-			if L := s.floor(); L > 0 {
+			open[i][j] = s.Zone == c.zone || !c.row.OnlyZone && !p.shut(c.zone, s.Zone)
+			if L := p.floor(s); L > 0 {
 				sumL, n = sumL+L, n+1
 			}
 			if open[i][j] {
@@ -555,7 +615,7 @@
 			meanL = sumL / n
 		}
 		for j, s := range js {
-			L := s.floor()
+			L := p.floor(s)
 			if L == 0 {
 				L = meanL
 			}
@@ -595,7 +655,7 @@
 
 // wants turns a client's shares into what its tables should hold: no tiny lines, but enough lines.
 func (p *Planner) wants(c *client, js []*server, share []float64, open []bool) {
-	order := make([]int, 0, len(js))
+	order, small := make([]int, 0, len(js)), tiny/float64(len(js))
 	for j := range js {
 		if open[j] {
 			order = append(order, j)
@@ -604,8 +664,8 @@
 	sort.SliceStable(order, func(a, b int) bool { return share[order[a]] > share[order[b]] })
 	want := map[*server]float64{}
 	for n, j := range order {
-		if share[j] >= tiny || n < leastLines || (p.ramp(js[j]) < 1 && share[j] > tiny/10) {
-			want[js[j]] = math.Round(math.Max(share[j], tiny/4)*1e4) / 1e4
+		if share[j] >= small || n < leastLines || (p.ramp(js[j]) < 1 && share[j] > small/4) {
+			want[js[j]] = math.Round(math.Max(share[j], small/4)*1e4) / 1e4
 		}
 	}
 	for _, t := range c.tables {
@@ -702,7 +762,7 @@
 			}
 		}
 	}
-	_, _, drops := p.fleet(windowMs)
+	_, drops, _ := p.fleet(windowMs)
 	for _, s := range p.servers {
 		if s.State != Ready {
 			continue
@@ -733,18 +793,18 @@
 	good := math.Min(math.Max(goodShare, 2*drops), 0.8)
 	bad := math.Max(badShare, (1+good)/2)
 	score := 0.0
-	n := 0
+	sums, n := p.periods(s, math.Inf(1)), 0
 	expect := p.expected(s) * p.set.ReportEveryMs / 1000
 	for _, at := range p.fleetHeard {
-		for n < len(s.sums) && s.sums[n].at < at-p.set.ReportEveryMs/2 {
+		for n < len(sums) && sums[n].at < at-p.set.ReportEveryMs/2 {
 			n++
 		}
 		if at <= s.since+p.set.LongestWayMs+p.set.ReportEveryMs {
 			continue
 		}
 		add := 0.0
-		if n < len(s.sums) && s.sums[n].at < at+p.set.ReportEveryMs/2 {
-			a := s.sums[n]
+		if n < len(sums) && sums[n].at < at+p.set.ReportEveryMs/2 {
+			a := sums[n]
 			add = a.failed*math.Log(bad/good) + (a.count-a.failed)*math.Log((1-bad)/(1-good))
 		} else {
 			// Silence where flows were sent is evidence of a hang, not of health.
@@ -814,12 +874,7 @@
 	}
 	p.levelAt = p.now
 	span := levelMs + p.set.ReportEveryMs/2
-	_, mean, drops := p.fleet(span)
-	good := 0.0
-	for _, s := range p.servers {
-		c, f, _ := p.recent(s, span)
-		good += (c - f) / span * 1000
-	}
+	latency, drops, good := p.fleet(span)
 	came, let := make([]float64, len(p.levels)), 0.0
 	all := 0.0
 	for _, c := range p.clients {
@@ -830,11 +885,11 @@
 	for _, d := range came {
 		all += d
 	}
-	if all == 0 || mean == 0 {
+	if all == 0 || latency == 0 {
 		return
 	}
 	share := let / all
-	switch late := mean / p.budget(); {
+	switch late := latency / p.budget(); {
 	case late > jam || drops > dropsMost:
 		// What is delivered now is what the fleet can do; less than that lets the jam drain.
 		share = math.Max(share*levelDown, math.Min(share, good/all*drain))
@@ -1046,7 +1101,7 @@
 			missing, all, live := 0.0, 0.0, 0
 			for _, s := range p.servers {
 				w, l := t.want[s], t.lines[s]
-				if p.ramp(s) < 1 && l > 1.5*w+tiny/4 && s.usable() && len(t.lines) > 1 && p.pay(1, to, true) {
+				if p.ramp(s) < 1 && l > 1.5*w+overshoot && s.usable() && len(t.lines) > 1 && p.pay(1, to, true) {
 					return p.setLine(h, t, s)
 				}
 				if l > 0 && !s.out {
@@ -1073,7 +1128,7 @@
 		ready := true
 		for _, c := range p.clients {
 			for _, t := range c.tables {
-				ready = ready && t.lines[s] <= 1.5*t.want[s]+tiny/4
+				ready = ready && t.lines[s] <= 1.5*t.want[s]+overshoot
 			}
 		}
 		if ready && p.pay(1, p.proxies, true) {
