Only silence or total failure is death; caps add up to demand

Cause: full servers that still delivered were put out in turn, and with caps 5% above demand the slowest server of the linear cost got nothing.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,7 +17,7 @@
 	solveEveryMs = 2500.0 // ms; half the design's 5 s: two copies then give each proxy news every 5 s
 	soonMs       = 400.0  // ms; least time between solves that the list or health asks for, gathers changes
 	iterations   = 20     // the paper's ADMM-20
-	headroom     = 1.05   // sum of caps over demand; the design's figure
+	headroom     = 1.01   // sum of caps over demand; the design's figure
 	step         = 1.0    // cost of an average line in units of an average share, so that rho 1 converges
 	lambdaMost   = 4.0    // in the same unit; a price beyond it outlives the jam that made it
 	leastDemand  = 0.02   // share of a client's fair part; an idle client still needs a sound table
@@ -39,10 +39,10 @@
 	shyness     = 0.7    // part of the cold share that a start begins with; leaves room for chance
 
 	// Health.
-	verdict    = 8.0    // nats; a false alarm in some 3,000 sums, a dead server is out after two or three
+	verdict    = 6.0    // nats; a dozen drops with nothing delivered, a false alarm in some 400 sums
 	sumMost    = 4.0    // nats that a single sum may add; one odd report is never enough
-	badShare   = 0.9    // share of drops that a failing server is tested for
-	goodShare  = 0.1    // least share of drops that a sound server is thought to have
+	badShare   = 0.99   // share of drops of a dead server; one that delivers at all is full or slow, not dead
+	goodShare  = 0.6    // share of drops that a full server may have; its cap shrinks, it is not put out
 	outMost    = 0.3    // part of the fleet out at once; beyond it the evidence is doubted
 	outMs      = 5000.0 // ms; first stay out, doubled with each verdict: most hangs last 5 to 20 s
 	outLongest = 20000.0
@@ -50,6 +50,7 @@
 	trialMs    = 1500.0 // ms in which that part doubles; full again in some three report periods
 	cutMs      = 3000.0 // ms looked back for a cut between zones; two or three report periods
 	cutDrops   = 6.0    // drops that a cut needs at least; tables send little across zones
+	cutShare   = 0.9    // share of drops over a cut link; the rest was under way when it was cut
 	probeMs    = 1500.0 // ms between probes of a server that is out; they cost it work
 
 	// Levels.
@@ -439,7 +440,7 @@
 	}
 	for n := range p.links {
 		l := &p.links[n]
-		if failed[n] < cutDrops || failed[n] < badShare*count[n] || p.now < l.shutAt+l.shutFor+cutMs {
+		if failed[n] < cutDrops || failed[n] < cutShare*count[n] || p.now < l.shutAt+l.shutFor+cutMs {
 			continue
 		}
 		if p.now < l.shutAt+l.shutFor+outLongest {
