Smaller ADMM step; fewer false alarms of a slow channel

Cause: with step 1 and links shut, 20 cold iterations left caps exceeded by half; proxies that had lost their streams made the channel look slow and held tidy lines back.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,7 +18,7 @@
 	soonMs       = 400.0  // ms; least time between solves that the list or health asks for, gathers changes
 	iterations   = 20     // the paper's ADMM-20
 	headroom     = 1.01   // sum of caps over demand; the design's figure
-	step         = 1.0    // cost of an average line in units of an average share, so that rho 1 converges
+	step         = 0.3    // cost of an average line in units of an average share, so that rho 1 converges
 	lambdaMost   = 4.0    // in the same unit; a price beyond it outlives the jam that made it
 	leastDemand  = 0.02   // share of a client's fair part; an idle client still needs a sound table
 	copies       = 2      // staged copies of a client's table; half the proxies try a split first
@@ -130,6 +130,7 @@
 
 type receipt struct {
 	number  int
+	asked   int
 	due     float64
 	waiting map[*proxy]bool
 }
@@ -942,7 +943,7 @@
 	rate := p.set.ChannelRate / 1000
 	for n := 0; n < len(p.receipts); n++ {
 		if r := p.receipts[n]; p.now > r.due && len(r.waiting) > 0 {
-			p.slow = true
+			p.slow = p.slow || len(r.waiting) == r.asked // a few silent ones have lost their streams
 			if p.now > r.due+10*p.set.LongestWayMs {
 				p.receipts = append(p.receipts[:n:n], p.receipts[n+1:]...)
 				n--
@@ -1187,7 +1188,7 @@
 		return false
 	}
 	p.nextReceipt = (p.nextReceipt + 1) % 65536
-	r := receipt{p.nextReceipt, 0, map[*proxy]bool{}}
+	r := receipt{p.nextReceipt, len(to), 0, map[*proxy]bool{}}
 	for _, q := range to {
 		r.waiting[q] = true
 	}
