--- a/brain/brain.go
+++ b/brain/brain.go
@@ -18,6 +18,7 @@
 	soonMs       = 400.0  // ms; least time between solves that the list or health asks for, gathers changes
 	iterations   = 20     // the paper's ADMM-20
 	headroom     = 1.01   // sum of caps over demand; the design's figure
+	calmRoom     = 0.4    // more of it while latencies are low; flows then stay in their zone
 	step         = 0.3    // cost of an average line in units of an average share, so that rho 1 converges
 	lambdaMost   = 4.0    // in the same unit; a price beyond it outlives the jam that made it
 	leastDemand  = 0.02   // share of a client's fair part; an idle client still needs a sound table
@@ -588,12 +589,25 @@
 			warm += C[j]
 		}
 	}
+	latency, _, _ := p.fleet(windowMs)
+	room := headroom + calmRoom*math.Max(0, 1-latency/p.budget()/calm)
 	// Caps below demand scale up, those of cold servers never: they would be pushed over.
 	for j, s := range js {
 		if p.ramp(s) >= 1 && warm > 0 {
-			C[j] *= math.Max(total*headroom-cold, total*0.5) / warm
+			C[j] *= math.Max(total*room-cold, total*0.5) / warm
 		}
 	}
+	// L is taken per zone: within one, lows show the speed of servers, which their caps have already.
+	low := make([]float64, p.set.Zones)
+	for z := range low {
+		low[z] = math.Max(typical, 1)
+	}
+	for _, s := range js {
+		if L := p.floor(s); L > 0 {
+			low[s.Zone] = math.Min(low[s.Zone], L)
+		}
+	}
+	typical = math.Max(typical, 1)
 	unit := total / float64(I)
 	for j := range C {
 		C[j] /= unit
@@ -602,29 +616,20 @@
 		D[i] = math.Max(D[i]/unit, leastDemand)
 		cost[i], open[i] = make([]float64, J), make([]bool, J)
 		alpha[i], beta[i], lambda[i] = make([]float64, J), make([]float64, J), make([]float64, J)
-		var sumL, n, caps float64
+		caps, best := 0.0, c.row.BudgetMs
 		for j, s := range js {
 			open[i][j] = s.Zone == c.zone || !c.row.OnlyZone && !p.shut(c.zone, s.Zone)
-			if L := p.floor(s); L > 0 {
-				sumL, n = sumL+L, n+1
-			}
 			if open[i][j] {
 				caps += C[j]
+				best = math.Min(best, low[s.Zone])
 			}
 		}
-		meanL := 0.0
-		if n > 0 {
-			meanL = sumL / n
-		}
 		for j, s := range js {
-			L := p.floor(s)
-			if L == 0 {
-				L = meanL
-			}
+			L := low[s.Zone] - best
 			if s.Zone != c.zone {
 				L += p.set.CrossPrice * c.row.BudgetMs
 			}
-			cost[i][j] = L / math.Max(meanL, c.row.BudgetMs/10) / float64(J) * step
+			cost[i][j] = L / typical / float64(J) * step
 			if x := c.cells[s]; x != nil && !changed {
 				alpha[i][j], beta[i][j], lambda[i][j] = x.alpha, x.beta, x.lambda
 			} else if open[i][j] && caps > 0 {
