--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,7 +1,7 @@
 // Package brain decides for one planner: which tables its proxies follow, and when they hear of it.
 //
 // How to call it: New at each start, then the input methods (Listed, Joined, Left, Heard, Usage, Applied,
-// Probed, Woken) after a Tick with the time; they only update what is known. Then Next until it says false:
+// Woken) after a Tick with the time; they only update what is known. Then Next until it says false:
 // each call makes at most one decision, by one call on the Host. The interface is in host.go, the reasons
 // in docs/design.md.
 package brain
@@ -52,7 +52,6 @@
 	cutMs      = 3000.0 // ms looked back for a cut between zones; two or three report periods
 	cutDrops   = 6.0    // drops that a cut needs at least; tables send little across zones
 	cutShare   = 0.9    // share of drops over a cut link; the rest was under way when it was cut
-	probeMs    = 1500.0 // ms between probes of a server that is out; they cost it work
 
 	// Levels.
 	levelMs   = 2000.0 // ms; a level shows in the sums after about this time
@@ -68,6 +67,7 @@
 	tidyShare   = 0.15   // part of the longest queue that tidy work may fill; the rest is for rules
 	urgentShare = 0.9    // part for urgent work; counts are estimates
 	slowest     = 6.0    // times slower that the channel is taken to be when receipts are late
+	receiptMs   = 5000.0 // ms; an unanswered receipt is given up then; the longest slow way is shorter
 	lateMs      = 500.0  // ms; a receipt this late beyond its longest way means a slow channel
 	askAgainMs  = 1200.0 // ms; first wait after a failed call for the list, doubled each time
 	wakeMs      = 200.0  // ms between looks when nothing comes in; well under every grace
@@ -92,8 +92,6 @@
 	since    float64 // last verdict, return or start: evidence before it is void
 	badUntil float64
 	verdicts int
-	alive    bool // a probe was answered since the verdict
-	probedAt float64
 	tried    float64 // when it was let back after a verdict
 	rampFrom float64 // its cap starts low here; -Inf for a warm server
 }
@@ -129,19 +127,11 @@
 // level is the admission of one traffic group.
 type level struct{ want, sent float64 }
 
-type receipt struct {
-	number  int
-	asked   int
-	due     float64
-	waiting map[*proxy]bool
-}
-
 // Planner decides for the proxies joined to it. It shares nothing with other planners.
 type Planner struct {
-	set     Settings
-	chance  *rand.Rand
-	now     float64
-	started float64
+	set    Settings
+	chance *rand.Rand
+	now    float64
 
 	links   []link // from zone times zones plus to zone
 	servers []*server
@@ -159,9 +149,9 @@
 	// The channel: lines waiting, worked out when orders were last counted.
 	waiting, countedAt float64
 	slow               bool
-	receipts           []receipt
-	nextReceipt        int
-	asked              int // receipt number of this tick, or -1
+	asked, answered    int     // proxies that the receipt under way was asked of, and that answered
+	receipts           int     // number of the last one
+	receiptDue         float64 // when its answers are late
 
 	following         bool
 	followAt, askWait float64
@@ -171,8 +161,7 @@
 // New starts a planner that knows its settings and nothing else.
 func New(set Settings, seed int64) *Planner {
 	p := &Planner{set: set, chance: rand.New(rand.NewSource(seed)), byName: map[string]*server{},
-		byID: map[int]*proxy{}, asked: -1, askWait: askAgainMs, unsolved: true, started: math.NaN(),
-
+		byID: map[int]*proxy{}, askWait: askAgainMs, unsolved: true,
 		solvedAt: math.Inf(-1), levelAt: math.Inf(-1), thoughtAt: math.Inf(-1), wakeAt: math.Inf(-1)}
 	for g := range set.Groups {
 		p.levels = append(p.levels, level{1, 1})
@@ -199,12 +188,6 @@
 
 // Tick tells the time. All that follows until the next Tick leaves in one message a proxy.
 func (p *Planner) Tick(now float64) {
-	if math.IsNaN(p.started) {
-		p.started, p.countedAt = now, now
-	}
-	if now > p.now {
-		p.asked = -1
-	}
 	p.now = now
 }
 
@@ -225,12 +208,15 @@
 	p.unsolved = true
 	seen := map[string]bool{}
 	for _, e := range list {
+		if e.Zone < 0 || e.Zone >= p.set.Zones {
+			continue
+		}
 		seen[e.Server] = true
 		s := p.byName[e.Server]
 		if s == nil {
-			s = &server{since: p.now, tried: math.Inf(-1), rampFrom: math.Inf(-1)}
-			if e.BornMs > 0 {
-				s.rampFrom = e.BornMs
+			s = &server{since: p.now, tried: math.Inf(-1), rampFrom: e.BornMs}
+			if e.BornMs == 0 {
+				s.rampFrom = math.Inf(-1)
 			}
 			p.byName[e.Server] = s
 			p.servers = append(p.servers, s)
@@ -239,12 +225,11 @@
 			*s = server{out: s.out, since: p.now, tried: math.Inf(-1), rampFrom: math.Max(e.BornMs, p.now-p.set.WarmUpMs)}
 		}
 		s.Entry = e
+		s.Size = math.Max(e.Size, 1e-6)
 	}
-	if form == Whole || form == Restored {
-		for _, s := range p.servers {
-			if !seen[s.Server] {
-				s.State = Gone
-			}
+	for _, s := range p.servers {
+		if form != Change && !seen[s.Server] {
+			s.State = Gone
 		}
 	}
 }
@@ -252,9 +237,12 @@
 // Joined is a proxy's new stream; it keeps what it held.
 func (p *Planner) Joined(id, zone int, usual float64) {
 	p.Left(id)
+	if zone < 0 || zone >= p.set.Zones {
+		return
+	}
 	q := &proxy{id: id, zone: zone, usual: usual, usage: make([][]sum, len(p.set.Groups)),
 		bound: make([]*table, len(p.set.Groups))}
-	with := make([]int, copies)
+	var with [copies]int
 	for _, o := range p.proxies {
 		if o.zone == zone {
 			with[o.copy]++
@@ -279,29 +267,23 @@
 			break
 		}
 	}
-	for n := range p.receipts {
-		delete(p.receipts[n].waiting, gone)
-	}
 }
 
-func keep(sums []sum, s sum, most int) []sum {
-	if len(sums) >= most {
-		sums = append(sums[:0:0], sums[1:]...)
+func keep[T any](list []T, last T, most int) []T {
+	if len(list) >= most {
+		list = append(list[:0:0], list[1:]...)
 	}
-	return append(sums, s)
+	return append(list, last)
 }
 
 // Heard is what the proxies of a zone met at a server.
 func (p *Planner) Heard(name string, zone, count, failed int, latency, covers float64) {
 	s := p.byName[name]
-	if s == nil || count <= 0 || zone < 0 || zone >= p.set.Zones || s.Zone < 0 || s.Zone >= p.set.Zones {
+	if s == nil || count <= 0 || zone < 0 || zone >= p.set.Zones {
 		return
 	}
 	if n := len(p.fleetHeard); n == 0 || p.now-p.fleetHeard[n-1] > p.set.ReportEveryMs/2 {
-		p.fleetHeard = append(p.fleetHeard, p.now)
-		if n >= keepSamples {
-			p.fleetHeard = append(p.fleetHeard[:0:0], p.fleetHeard[1:]...)
-		}
+		p.fleetHeard = keep(p.fleetHeard, p.now, keepSamples)
 	}
 	s.sums = keep(s.sums, sum{zone, p.now, float64(count), float64(failed), latency, covers}, keepSamples*p.set.Zones)
 }
@@ -315,22 +297,9 @@
 
 // Applied is the answer to a Receipt.
 func (p *Planner) Applied(id, number int, took float64) {
-	for n, r := range p.receipts {
-		if r.number == number {
-			delete(r.waiting, p.byID[id])
-			p.slow = p.now > r.due
-			if len(r.waiting) == 0 {
-				p.receipts = append(p.receipts[:n:n], p.receipts[n+1:]...)
-			}
-			return
-		}
-	}
-}
-
-// Probed is the result of a Probe.
-func (p *Planner) Probed(name string, delivered bool) {
-	if s := p.byName[name]; s != nil {
-		s.alive = delivered
+	if number == p.receipts && p.answered < p.asked {
+		p.answered++
+		p.slow = p.now > p.receiptDue
 	}
 }
 
@@ -344,7 +313,7 @@
 		p.solveIfDue()
 	}
 	return p.follow(h) || p.withdraw(h) || p.bind(h) || p.rescue(h) || p.readmit(h) || p.admit(h) ||
-		p.publish(h) || p.probe(h) || p.receipt(h) || p.wake(h)
+		p.publish(h) || p.receipt(h) || p.wake(h)
 }
 
 // ---- the list ----
@@ -362,9 +331,6 @@
 // usable servers are listed ready and not judged bad.
 func (s *server) usable() bool { return s.State == Ready && !s.bad }
 
-// mustOut says that proxies may not send there: it drains, is gone, or was judged bad.
-func (s *server) mustOut() bool { return !s.usable() }
-
 // ramp is the part of its cap that a server may be given: a cold one starts low and doubles.
 func (p *Planner) ramp(s *server) float64 {
 	part := math.Min(1, trialShare*math.Exp2((p.now-s.tried)/trialMs))
@@ -445,9 +411,8 @@
 		if failed[n] < cutDrops || failed[n] < cutShare*count[n] || p.now < l.shutAt+l.shutFor+cutMs {
 			continue
 		}
-		if p.now < l.shutAt+l.shutFor+outLongest {
-			l.shutFor = math.Min(2*l.shutFor, outLongest)
-		} else {
+		l.shutFor = math.Min(2*l.shutFor, outLongest)
+		if p.now > l.shutAt+2*l.shutFor {
 			l.shutFor = outMs
 		}
 		l.shutAt, p.unsolved = p.now, true
@@ -572,16 +537,14 @@
 		c.demand = D[i]
 	}
 	changed = changed || moved > shift*total
-	if total == 0 {
-		total = 1
-	}
+	total = math.Max(total, 1e-3)
 	typical, jammed := p.typical(js)
 	warm, cold, size := 0.0, 0.0, 0.0
 	for _, s := range js {
-		size += math.Max(s.Size, 1e-6)
+		size += s.Size
 	}
 	for j, s := range js {
-		C[j] = math.Max(s.Size, 1e-6) / size * total * p.fit(s, typical, jammed)
+		C[j] = s.Size / size * total * p.fit(s, typical, jammed)
 		if r := p.ramp(s); r < 1 {
 			C[j] *= r
 			cold += C[j]
@@ -760,37 +723,29 @@
 
 // judge runs the sequential test on each server's sums and calls off verdicts that are served.
 func (p *Planner) judge() {
-	fleet, out := 0, 0
+	fleet, out := 0.0, 1.0
 	for _, s := range p.servers {
 		if s.State == Ready {
 			fleet++
-			if s.bad {
-				out++
-			}
+		}
+		if s.State == Ready && s.bad {
+			out++
 		}
 	}
 	_, drops, _ := p.fleet(windowMs)
 	for _, s := range p.servers {
-		if s.State != Ready {
-			continue
-		}
-		if s.bad {
-			if p.now >= s.badUntil && (!p.set.CanProbe || s.alive) {
-				s.bad, s.since, s.tried, p.unsolved = false, p.now, p.now, true
-			}
-			continue
-		}
-		if p.evidence(s, drops) < verdict {
-			continue
+		switch {
+		case s.State != Ready:
+		case s.bad && p.now >= s.badUntil:
+			s.bad, s.since, s.tried, p.unsolved = false, p.now, p.now, true
+		case s.bad || p.evidence(s, drops) < verdict || out > outMost*fleet:
+			// Many bad servers at once are more likely a fault of what we hear: a cut, a jam, stale news.
+		default:
+			out++
+			s.bad, s.since, p.unsolved = true, p.now, true
+			s.badUntil = p.now + math.Min(outMs*math.Exp2(float64(s.verdicts)), outLongest)
+			s.verdicts++
 		}
-		// Many bad servers at once are more likely a fault of what we hear: a cut, a jam, stale news.
-		if float64(out+1) > outMost*float64(fleet) {
-			continue
-		}
-		out++
-		s.bad, s.alive, s.since, p.unsolved = true, false, p.now, true
-		s.badUntil = p.now + math.Min(outMs*math.Exp2(float64(s.verdicts)), outLongest)
-		s.verdicts++
 	}
 }
 
@@ -831,9 +786,9 @@
 	for _, c := range p.clients {
 		for n, t := range c.tables {
 			sum := 0.0
-			for o, w := range t.lines {
+			for _, o := range p.servers { // not the map: the order of a sum shows in its last digit
 				if !o.out {
-					sum += w
+					sum += t.lines[o]
 				}
 			}
 			if t.lines[s] > 0 && sum > 0 {
@@ -946,14 +901,8 @@
 // queue is how many lines wait, with heads, as the channel would have drained them since.
 func (p *Planner) queue() float64 {
 	rate := p.set.ChannelRate / 1000
-	for n := 0; n < len(p.receipts); n++ {
-		if r := p.receipts[n]; p.now > r.due && len(r.waiting) > 0 {
-			p.slow = p.slow || len(r.waiting) == r.asked // a few silent ones have lost their streams
-			if p.now > r.due+10*p.set.LongestWayMs {
-				p.receipts = append(p.receipts[:n:n], p.receipts[n+1:]...)
-				n--
-			}
-		}
+	if p.asked > 0 && p.answered == 0 && p.now > p.receiptDue {
+		p.slow = true // no answer at all; a few silent proxies may have lost their streams
 	}
 	if p.slow {
 		rate /= slowest
@@ -993,10 +942,7 @@
 	p.waiting += cost
 	for _, q := range to {
 		if n := len(q.sent); n == 0 || q.sent[n-1] != p.now {
-			if len(q.sent) > p.set.MostMessages {
-				q.sent = append(q.sent[:0:0], q.sent[1:]...)
-			}
-			q.sent = append(q.sent, p.now)
+			q.sent = keep(q.sent, p.now, p.set.MostMessages+1)
 		}
 	}
 	return true
@@ -1018,7 +964,7 @@
 // withdraw shuts out servers that drain, are gone or were judged bad.
 func (p *Planner) withdraw(h Host) bool {
 	for _, s := range p.servers {
-		if s.mustOut() && !s.out && p.pay(1, p.proxies, true) {
+		if !s.usable() && !s.out && p.pay(1, p.proxies, true) {
 			s.out = true
 			h.Withdraw(s.Server, true)
 			return true
@@ -1064,11 +1010,8 @@
 	}
 	for _, q := range p.proxies {
 		for g := range q.bound {
-			if q.bound[g] != nil || q.zone < 0 || q.zone >= p.set.Zones {
-				continue
-			}
 			t := p.clients[q.zone*len(p.set.Groups)+g].tables[q.copy]
-			if len(t.want) == 0 {
+			if q.bound[g] != nil || len(t.want) == 0 {
 				continue
 			}
 			if len(p.users(t)) == 0 {
@@ -1129,7 +1072,7 @@
 // readmit lets a withdrawn server back once no table holds more of it than its ramp allows.
 func (p *Planner) readmit(h Host) bool {
 	for _, s := range p.servers {
-		if !s.out || s.mustOut() || p.unsolved {
+		if !s.out || !s.usable() || p.unsolved {
 			continue
 		}
 		ready := true
@@ -1166,21 +1109,9 @@
 	return false
 }
 
-// probe asks after servers that are out, where that is allowed.
-func (p *Planner) probe(h Host) bool {
-	for _, s := range p.servers {
-		if p.set.CanProbe && s.bad && s.State == Ready && p.now-math.Max(s.since, s.probedAt) >= probeMs {
-			s.probedAt = p.now
-			h.Probe(s.Server)
-			return true
-		}
-	}
-	return false
-}
-
 // receipt asks how long the messages of this tick take, to learn whether the channel is slow.
 func (p *Planner) receipt(h Host) bool {
-	if p.asked >= 0 {
+	if p.answered < p.asked && p.now < p.receiptDue+receiptMs {
 		return false
 	}
 	var to []*proxy
@@ -1192,15 +1123,10 @@
 	if len(to) == 0 || !p.pay(1, to, false) {
 		return false
 	}
-	p.nextReceipt = (p.nextReceipt + 1) % 65536
-	r := receipt{p.nextReceipt, len(to), 0, map[*proxy]bool{}}
-	for _, q := range to {
-		r.waiting[q] = true
-	}
-	r.due = p.now + p.waiting/p.set.ChannelRate*1000 + p.set.LongestWayMs + lateMs
-	p.asked = p.nextReceipt
-	p.receipts = append(p.receipts, r)
-	h.Receipt(p.nextReceipt)
+	p.receipts = (p.receipts + 1) % 65536
+	p.asked, p.answered = len(to), 0
+	p.receiptDue = p.now + p.waiting/p.set.ChannelRate*1000 + p.set.LongestWayMs + lateMs
+	h.Receipt(p.receipts)
 	return true
 }
 
--- a/brain/host.go
+++ b/brain/host.go
@@ -34,7 +34,6 @@
 	Groups        []TrafficGroup
 	DefaultRetry  int     // the retry mode of a proxy that was told none
 	CanAdmit      bool    // proxies heed admission levels that are shares
-	CanProbe      bool    // planners may probe servers
 	MustFollow    bool    // the list comes only to those who ask
 	AskWithinMs   float64 // an unasked list counts as told after this long
 	Sliced        bool    // tables are key slices handed out by a store
@@ -85,7 +84,6 @@
 	Withdraw(server string, out bool)
 	Admit(table, group int, share float64, retry int)
 	Receipt(number int)
-	Probe(server string)
 	Follow()
 	Wake(inMs float64)
 }
--- a/internal/wire/events.go
+++ b/internal/wire/events.go
@@ -52,21 +52,12 @@
 		}
 		return decode(in, raw, &m, func(p *brain.Planner) { p.Applied(m.Proxy, m.Number, m.TookMs) })
 	},
-	"Health": func(in *instance, raw []byte) error {
-		var m struct {
-			Server, Ending string
-			TookMs         float64
-			Metrics        []float64
-		}
-		return decode(in, raw, &m, func(p *brain.Planner) {
-			p.Probed(m.Server, m.Ending == "delivered")
-		})
-	},
 	"Ring": func(in *instance, raw []byte) error {
 		var m struct{ Nonce uint64 }
 		return decode(in, raw, &m, func(p *brain.Planner) { p.Woken() })
 	},
-	// Known and not needed: slices and messages among instances.
+	// Known and not needed: probes, slices, and messages among instances.
+	"Health":     skip,
 	"Datagram":   skip,
 	"Hotness":    skip,
 	"Handed":     skip,
@@ -140,7 +131,6 @@
 				ReloadSpanMs, ReportEveryMs, TransitMaxMs float64
 				StaysLocal                                []bool
 			}
-			Limits struct{ Probing bool }
 			Prices struct{ CrossZone float64 }
 			Rules  struct{ AskWithinMs, ColdShare, WarmUpMs float64 }
 		}
@@ -153,7 +143,7 @@
 	repeats := map[string]brain.Repeat{"read_like": brain.Retriable, "idempotency_key": brain.Deduped}
 	set := brain.Settings{
 		Zones: len(i.Azs), DefaultRetry: f.DefaultRetry, CanAdmit: f.Admit == "share",
-		CanProbe: i.Limits.Probing, MustFollow: i.Discovery == "subscribe", AskWithinMs: i.Rules.AskWithinMs,
+		MustFollow: i.Discovery == "subscribe", AskWithinMs: i.Rules.AskWithinMs,
 		Sliced: f.Slices > 0, ChannelRate: f.ChannelRate, HeadLines: f.PerMessage, MostWaiting: f.MostWaiting,
 		MostMessages: f.PushesAllowed, MessageSpanMs: f.ReloadSpanMs, LongestWayMs: f.TransitMaxMs,
 		ReportEveryMs: f.ReportEveryMs, ColdShare: i.Rules.ColdShare, WarmUpMs: i.Rules.WarmUpMs,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -222,8 +222,6 @@
 	in.out.start("AskReceipt", in.name).num("Number", float64(number)).flag("Active", false).end()
 }
 
-func (in *instance) Probe(server string) { in.out.start("Poll", in.name).str("Server", server).end() }
-
 func (in *instance) Follow() { in.out.start("Follow", in.name).flag("Active", true).end() }
 
 func (in *instance) Wake(inMs float64) {
