--- a/brain/brain.go
+++ b/brain/brain.go
@@ -108,14 +108,19 @@
 type client struct {
 	zone, group int
 	row         *TrafficGroup
-	cells       map[*server]*cell
+	cells       map[*server]cell
 	demand      float64 // at the last solve
 	tables      []*table
 }
 
-// cell holds the paper's variables for a client and a server, and the share published.
+// cell holds the paper's variables for a client and a server.
 type cell struct{ alpha, beta, lambda float64 }
 
+type line struct {
+	server *server
+	share  float64
+}
+
 type table struct {
 	number int
 	client *client
@@ -175,7 +180,7 @@
 	}
 	for z := 0; z < set.Zones; z++ {
 		for g := range set.Groups {
-			c := &client{zone: z, group: g, row: &p.set.Groups[g], cells: map[*server]*cell{}}
+			c := &client{zone: z, group: g, row: &p.set.Groups[g], cells: map[*server]cell{}}
 			for n := 0; n < copies; n++ {
 				c.tables = append(c.tables, &table{number: len(p.clients)*copies + n, client: c,
 					want: map[*server]float64{}, lines: map[*server]float64{}, due: true})
@@ -504,18 +509,18 @@
 	if p.unsolved {
 		wait = soonMs
 	}
-	if len(p.servers) == 0 || p.now-p.solvedAt < wait {
-		return
-	}
-	changed := p.unsolved
-	p.solvedAt, p.unsolved = p.now, false
-	p.solves++
 	var js []*server
 	for _, s := range p.servers {
 		if s.usable() {
 			js = append(js, s)
 		}
 	}
+	if len(js) == 0 || p.now-p.solvedAt < wait {
+		return // with no server to use, tables keep what they hold
+	}
+	changed := p.unsolved
+	p.solvedAt, p.unsolved = p.now, false
+	p.solves++
 	p.split(js, changed)
 	for _, c := range p.clients {
 		c.tables[p.solves%copies].due = true
@@ -524,43 +529,22 @@
 
 // split solves for all clients and sets what their tables should hold.
 func (p *Planner) split(js []*server, changed bool) {
-	I, J := len(p.clients), len(js)
-	D, C := make([]float64, I), make([]float64, J)
-	cost, open := make([][]float64, I), make([][]bool, I)
-	alpha, beta, lambda := make([][]float64, I), make([][]float64, I), make([][]float64, I)
-	total := 0.0
-	moved := 0.0
+	I, J := len(p.clients), float64(len(js))
+	D, C, cost, x := make([]float64, I), p.caps(js), make([][]float64, I), make([][]cell, I)
+	total, moved := 0.0, 0.0
 	for i, c := range p.clients {
 		D[i] = p.demand(c)
-		total += D[i]
-		moved += math.Abs(D[i]-c.demand) / 2
+		total, moved = total+D[i], moved+math.Abs(D[i]-c.demand)/2
 		c.demand = D[i]
 	}
+	// An old price of congestion is forgotten after a shift of demand or servers.
 	changed = changed || moved > shift*total
-	total = math.Max(total, 1e-3)
-	typical, jammed := p.typical(js)
-	warm, cold, size := 0.0, 0.0, 0.0
-	for _, s := range js {
-		size += s.Size
-	}
-	for j, s := range js {
-		C[j] = s.Size / size * total * p.fit(s, typical, jammed)
-		if r := p.ramp(s); r < 1 {
-			C[j] *= r
-			cold += C[j]
-		} else {
-			warm += C[j]
-		}
-	}
-	latency, _, _ := p.fleet(windowMs)
-	room := headroom + calmRoom*math.Max(0, 1-latency/p.budget()/calm)
-	// Caps below demand scale up, those of cold servers never: they would be pushed over.
-	for j, s := range js {
-		if p.ramp(s) >= 1 && warm > 0 {
-			C[j] *= math.Max(total*room-cold, total*0.5) / warm
-		}
+	unit := math.Max(total, leastDemand) / float64(I)
+	for j := range C {
+		C[j] *= math.Max(total, leastDemand) / unit
 	}
 	// L is taken per zone: within one, lows show the speed of servers, which their caps have already.
+	typical, _ := p.typical(js)
 	low := make([]float64, p.set.Zones)
 	for z := range low {
 		low[z] = math.Max(typical, 1)
@@ -570,72 +554,90 @@
 			low[s.Zone] = math.Min(low[s.Zone], L)
 		}
 	}
-	typical = math.Max(typical, 1)
-	unit := total / float64(I)
-	for j := range C {
-		C[j] /= unit
-	}
 	for i, c := range p.clients {
 		D[i] = math.Max(D[i]/unit, leastDemand)
-		cost[i], open[i] = make([]float64, J), make([]bool, J)
-		alpha[i], beta[i], lambda[i] = make([]float64, J), make([]float64, J), make([]float64, J)
-		caps, best := 0.0, c.row.BudgetMs
+		cost[i], x[i] = make([]float64, len(js)), make([]cell, len(js))
+		sum := 0.0
 		for j, s := range js {
-			open[i][j] = s.Zone == c.zone || !c.row.OnlyZone && !p.shut(c.zone, s.Zone)
-			if open[i][j] {
-				caps += C[j]
-				best = math.Min(best, low[s.Zone])
-			}
-		}
-		for j, s := range js {
-			L := low[s.Zone] - best
+			L := low[s.Zone]
 			if s.Zone != c.zone {
 				L += p.set.CrossPrice * c.row.BudgetMs
 			}
-			cost[i][j] = L / typical / float64(J) * step
-			if x := c.cells[s]; x != nil && !changed {
-				alpha[i][j], beta[i][j], lambda[i][j] = x.alpha, x.beta, x.lambda
-			} else if open[i][j] && caps > 0 {
-				alpha[i][j] = C[j] / caps
-				beta[i][j] = alpha[i][j]
+			cost[i][j] = L / math.Max(typical, 1) / J * step
+			if s.Zone != c.zone && (c.row.OnlyZone || p.shut(c.zone, s.Zone)) {
+				cost[i][j] = math.Inf(1)
+				continue
+			}
+			sum += C[j]
+		}
+		for j, s := range js {
+			if old, known := c.cells[s]; known && !changed {
+				x[i][j] = old
+			} else if !math.IsInf(cost[i][j], 1) {
+				x[i][j] = cell{alpha: C[j] / sum, beta: C[j] / sum}
 			}
 		}
 	}
-	solve(D, C, cost, open, alpha, beta, lambda, lambdaMost/math.Max(float64(J), 1))
-	load := make([]float64, J)
-	for i := range p.clients {
+	solve(D, C, cost, x, lambdaMost/J)
+	load := make([]float64, len(js))
+	for i := range x {
 		for j := range js {
-			load[j] += alpha[i][j] * D[i]
+			load[j] += x[i][j].alpha * D[i]
 		}
 	}
 	for i, c := range p.clients {
-		c.cells = map[*server]*cell{}
-		share := make([]float64, J)
+		c.cells = map[*server]cell{}
+		var lines []line
 		for j, s := range js {
-			c.cells[s] = &cell{alpha[i][j], beta[i][j], lambda[i][j]}
-			share[j] = alpha[i][j]
+			c.cells[s] = x[i][j]
+			if math.IsInf(cost[i][j], 1) {
+				continue
+			}
+			share := x[i][j].alpha
 			// Guards a cold server's budget: a split cut off after 20 iterations may exceed its cap.
 			if p.ramp(s) < 1 && load[j] > C[j] {
-				share[j] *= C[j] / load[j]
+				share *= C[j] / load[j]
 			}
+			lines = append(lines, line{s, share})
 		}
-		p.wants(c, js, share, open[i])
+		p.wants(c, lines, tiny/J)
 	}
 }
 
-// wants turns a client's shares into what its tables should hold: no tiny lines, but enough lines.
-func (p *Planner) wants(c *client, js []*server, share []float64, open []bool) {
-	order, small := make([]int, 0, len(js)), tiny/float64(len(js))
-	for j := range js {
-		if open[j] {
-			order = append(order, j)
+// caps are the paper's C as parts of all demand: listed size times fit, brought to the demand with some room.
+// Those of cold servers are not scaled up: they would be pushed over.
+func (p *Planner) caps(js []*server) []float64 {
+	C := make([]float64, len(js))
+	typical, jammed := p.typical(js)
+	latency, _, _ := p.fleet(windowMs)
+	room := headroom + calmRoom*math.Max(0, 1-latency/p.budget()/calm)
+	warm, cold, size := 0.0, 0.0, 0.0
+	for _, s := range js {
+		size += s.Size
+	}
+	for j, s := range js {
+		C[j] = s.Size / size * p.fit(s, typical, jammed) * p.ramp(s)
+		if p.ramp(s) < 1 {
+			cold += C[j]
+		} else {
+			warm += C[j]
+		}
+	}
+	for j, s := range js {
+		if p.ramp(s) >= 1 {
+			C[j] *= math.Max(room-cold, 0.5) / warm
 		}
 	}
-	sort.SliceStable(order, func(a, b int) bool { return share[order[a]] > share[order[b]] })
+	return C
+}
+
+// wants turns a client's shares into what its tables should hold: no tiny lines, but enough lines.
+func (p *Planner) wants(c *client, lines []line, small float64) {
+	sort.SliceStable(lines, func(a, b int) bool { return lines[a].share > lines[b].share })
 	want := map[*server]float64{}
-	for n, j := range order {
-		if share[j] >= small || n < leastLines || (p.ramp(js[j]) < 1 && share[j] > small/4) {
-			want[js[j]] = math.Round(math.Max(share[j], small/4)*1e4) / 1e4
+	for n, l := range lines {
+		if l.share >= small || n < leastLines || p.ramp(l.server) < 1 && l.share > small/4 {
+			want[l.server] = math.Round(math.Max(l.share, small/4)*1e4) / 1e4
 		}
 	}
 	for _, t := range c.tables {
@@ -643,80 +645,54 @@
 	}
 }
 
-// solve runs ADMM with rho 1. Alpha, beta and lambda are warm and updated in place; D averages 1.
-func solve(D, C []float64, cost [][]float64, open [][]bool, alpha, beta, lambda [][]float64, most float64) {
-	I, J := len(D), len(C)
-	x, d, v := make([]float64, 0, I+J), make([]float64, 0, I+J), make([]float64, 0, I+J)
-	for it := 0; it < iterations && J > 0; it++ {
+// solve runs ADMM with rho 1. The cells are warm and updated in place; D averages 1; a cost may be infinite.
+func solve(D, C []float64, cost [][]float64, x [][]cell, most float64) {
+	v, d, at := make([]float64, len(C)+len(D)), make([]float64, len(C)+len(D)), make([]int, len(C))
+	for it := 0; it < iterations; it++ {
 		for i := range D { // Lemma 3
-			x = x[:0]
-			for j := range C {
-				if open[i][j] {
-					x = append(x, beta[i][j]-D[i]*cost[i][j]-lambda[i][j])
-				}
-			}
-			mu := simplex(x, &v)
 			n := 0
-			for j := range C {
-				alpha[i][j] = 0
-				if open[i][j] {
-					alpha[i][j] = math.Max(x[n]-mu, 0)
+			for j, c := range x[i] {
+				x[i][j].alpha = 0
+				if !math.IsInf(cost[i][j], 1) {
+					v[n], d[n], at[n] = c.beta-D[i]*cost[i][j]-c.lambda, 1, j
 					n++
 				}
 			}
+			mu := waterline(v[:n], d[:n], 1)
+			for k, j := range at[:n] {
+				x[i][j].alpha = math.Max(v[k]-mu, 0)
+			}
 		}
-		for j := range C { // Lemma 1 with prices zero
-			x, d = x[:0], d[:0]
+		for j := range C { // Lemma 1 with prices zero, and the dual step
 			for i := range D {
-				x, d = append(x, math.Max(lambda[i][j]+alpha[i][j], 0)), append(d, D[i])
+				v[i], d[i] = math.Max(x[i][j].lambda+x[i][j].alpha, 0), D[i]
 			}
-			nu := knapsack(x, d, C[j])
+			nu := math.Max(waterline(v[:len(D)], d[:len(D)], C[j]), 0)
 			for i := range D {
-				beta[i][j] = math.Max(x[i]-D[i]*nu, 0)
-				l := lambda[i][j] + alpha[i][j] - beta[i][j]
-				lambda[i][j] = math.Min(math.Max(l, -most), most)
+				c := &x[i][j]
+				c.beta = math.Max(v[i]-D[i]*nu, 0)
+				c.lambda = math.Min(math.Max(c.lambda+c.alpha-c.beta, -most), most)
 			}
 		}
 	}
 }
 
-// simplex finds mu with sum of max(x-mu, 0) = 1, exactly.
-func simplex(x []float64, buf *[]float64) float64 {
-	v := append((*buf)[:0], x...)
-	*buf = v
-	sort.Sort(sort.Reverse(sort.Float64Slice(v)))
-	sum, mu := 0.0, 0.0
-	for n, a := range v {
-		sum += a
-		if m := (sum - 1) / float64(n+1); n == 0 || a > m {
-			mu = m
-		}
-	}
-	return mu
-}
-
-// knapsack finds nu >= 0 with sum of D*max(x - D*nu, 0) = C where that sum exceeds C at nu 0, exactly.
-func knapsack(x, D []float64, C float64) float64 {
-	order := make([]int, 0, len(x))
-	sumDX, sumDD := 0.0, 0.0
-	for i := range x {
-		if x[i] > 0 && D[i] > 0 {
-			order = append(order, i)
-			sumDX, sumDD = sumDX+D[i]*x[i], sumDD+D[i]*D[i]
-		}
+// waterline finds nu with the sum of d*max(v-d*nu, 0) equal to C, exactly: it drains the highest first.
+func waterline(v, d []float64, C float64) float64 {
+	order := make([]int, len(v))
+	for i := range order {
+		order[i] = i
 	}
-	if sumDX <= C {
-		return 0
-	}
-	sort.SliceStable(order, func(a, b int) bool { return x[order[a]]/D[order[a]] < x[order[b]]/D[order[b]] })
+	sort.SliceStable(order, func(a, b int) bool { return v[order[a]]*d[order[b]] > v[order[b]]*d[order[a]] })
+	sumDV, sumDD, nu := 0.0, 0.0, math.Inf(1)
 	for _, i := range order {
-		nu := (sumDX - C) / sumDD
-		if nu <= x[i]/D[i] {
-			return nu
+		if sumDD > 0 && nu >= v[i]/d[i] {
+			break
 		}
-		sumDX, sumDD = sumDX-D[i]*x[i], sumDD-D[i]*D[i]
+		sumDV, sumDD = sumDV+d[i]*v[i], sumDD+d[i]*d[i]
+		nu = (sumDV - C) / sumDD
 	}
-	return math.Inf(1)
+	return nu
 }
 
 // ---- health ----
@@ -784,38 +760,22 @@
 	}
 	rate := 0.0
 	for _, c := range p.clients {
-		for n, t := range c.tables {
+		demand := p.demand(c)
+		for _, t := range c.tables {
 			sum := 0.0
 			for _, o := range p.servers { // not the map: the order of a sum shows in its last digit
 				if !o.out {
 					sum += t.lines[o]
 				}
 			}
-			if t.lines[s] > 0 && sum > 0 {
-				rate += t.lines[s] / sum * p.demandOf(c, n)
+			if sum > 0 {
+				rate += t.lines[s] / sum * demand / copies
 			}
 		}
 	}
 	return rate
 }
 
-// demandOf is the part of a client's demand on one copy of its table.
-func (p *Planner) demandOf(c *client, copy int) float64 {
-	all, here := 0.0, 0.0
-	for _, q := range p.proxies {
-		if q.zone == c.zone {
-			all += q.usual + 0.01
-			if q.copy == copy {
-				here += q.usual + 0.01
-			}
-		}
-	}
-	if all == 0 {
-		return 0
-	}
-	return p.demand(c) * here / all
-}
-
 // budget is the mean latency budget of flows.
 func (p *Planner) budget() float64 {
 	sum, n := 0.0, 0.0
