--- a/brain/brain.go
+++ b/brain/brain.go
@@ -80,15 +80,12 @@
 }
 
 // link is the way from the proxies of one zone to the servers of another.
-type link struct {
-	shutAt, shutFor float64
-}
+type link struct{ shutAt, shutFor float64 }
 
 type server struct {
 	Entry
 	sums     []sum   // the last ones, oldest first
-	out      bool    // withdrawn at the proxies
-	bad      bool    // judged unfit
+	out, bad bool    // withdrawn at the proxies; judged unfit
 	since    float64 // last verdict, return or start: evidence before it is void
 	badUntil float64
 	verdicts int
@@ -122,11 +119,10 @@
 }
 
 type table struct {
-	number int
-	client *client
-	want   map[*server]float64
-	lines  map[*server]float64 // as sent
-	due    bool                // wants may be sent now
+	number      int
+	client      *client
+	want, lines map[*server]float64 // as decided, as sent
+	due         bool                // wants may be sent now
 }
 
 // level is the admission of one traffic group.
@@ -174,9 +170,8 @@
 			p.levels[g].sent = -1 // proxies must be told that they may not repeat
 		}
 	}
-	p.links = make([]link, set.Zones*set.Zones)
-	for n := range p.links {
-		p.links[n].shutAt = math.Inf(-1)
+	for n := 0; n < set.Zones*set.Zones; n++ {
+		p.links = append(p.links, link{shutAt: math.Inf(-1)})
 	}
 	for z := 0; z < set.Zones; z++ {
 		for g := range set.Groups {
@@ -247,15 +242,9 @@
 	}
 	q := &proxy{id: id, zone: zone, usual: usual, usage: make([][]sum, len(p.set.Groups)),
 		bound: make([]*table, len(p.set.Groups))}
-	var with [copies]int
 	for _, o := range p.proxies {
 		if o.zone == zone {
-			with[o.copy]++
-		}
-	}
-	for n := range with {
-		if with[n] < with[q.copy] {
-			q.copy = n
+			q.copy = (q.copy + 1) % copies
 		}
 	}
 	p.byID[id] = q
@@ -380,17 +369,13 @@
 // floor is the latency that a server shows when it is not jammed, the paper's L: the lower quartile of its
 // last sums, since the lowest of noisy means says little. 0 when unheard.
 func (p *Planner) floor(s *server) float64 {
-	var all []float64
+	all := []float64{}
 	for _, a := range p.periods(s, math.Inf(1)) {
 		if a.count-a.failed >= 2 {
 			all = append(all, a.latency)
 		}
 	}
-	if len(all) == 0 {
-		return 0
-	}
-	sort.Float64s(all)
-	return all[len(all)/4]
+	return quantile(all, 4)
 }
 
 func (p *Planner) shut(from, to int) bool {
@@ -431,45 +416,42 @@
 	for _, s := range p.servers {
 		c, f, l := p.recent(s, span)
 		delivered += (c - f) / span * 1000
-		if !s.usable() || c == 0 {
-			continue
+		if s.usable() && c > 0 {
+			ds = append(ds, f/c)
 		}
-		ds = append(ds, f/c)
-		if l > 0 {
+		if s.usable() && l > 0 {
 			ls = append(ls, l)
 		}
 	}
-	return middle(ls), middle(ds), delivered
+	return quantile(ls, 2), quantile(ds, 2), delivered
 }
 
-func middle(a []float64) float64 {
+// quantile is the sample that one part in so many lies below; 0 without samples.
+func quantile(a []float64, part int) float64 {
 	if len(a) == 0 {
 		return 0
 	}
 	sort.Float64s(a)
-	return a[len(a)/2]
+	return a[len(a)/part]
 }
 
 // demand is the paper's D: flows per second of a client's joined proxies.
-func (p *Planner) demand(c *client) float64 {
-	d := 0.0
+func (p *Planner) demand(c *client) (d float64) {
 	for _, q := range p.proxies {
-		if q.zone != c.zone {
-			continue
-		}
-		var count, covers float64
+		count, covers := q.usual/float64(len(p.set.Groups))/1000, 0.0 // by its own word until it is heard
 		for _, a := range q.usage[c.group] {
+			if a.at > p.now-windowMs && covers == 0 {
+				count = 0
+			}
 			if a.at > p.now-windowMs {
 				count, covers = count+a.count, covers+a.covers
 			}
 		}
-		if covers > 0 {
-			d += count / covers * 1000
-		} else {
-			d += q.usual / float64(len(p.set.Groups))
+		if q.zone == c.zone {
+			d += count / math.Max(covers, 1) * 1000
 		}
 	}
-	return d * math.Min(p.levels[c.group].want, 1)
+	return d * p.levels[c.group].want
 }
 
 // ---- the split ----
@@ -501,27 +483,22 @@
 			}
 		}
 	}
-	return middle(fs), middle(rs)
+	return quantile(fs, 2), quantile(rs, 2)
 }
 
+// solveIfDue solves every few seconds, and soon after servers came or went.
 func (p *Planner) solveIfDue() {
-	wait := solveEveryMs
-	if p.unsolved {
-		wait = soonMs
-	}
 	var js []*server
 	for _, s := range p.servers {
 		if s.usable() {
 			js = append(js, s)
 		}
 	}
-	if len(js) == 0 || p.now-p.solvedAt < wait {
+	if due := p.solvedAt + solveEveryMs; len(js) == 0 || p.now < due && !p.unsolved || p.now < p.solvedAt+soonMs {
 		return // with no server to use, tables keep what they hold
 	}
-	changed := p.unsolved
-	p.solvedAt, p.unsolved = p.now, false
-	p.solves++
-	p.split(js, changed)
+	p.split(js, p.unsolved)
+	p.solvedAt, p.unsolved, p.solves = p.now, false, p.solves+1
 	for _, c := range p.clients {
 		c.tables[p.solves%copies].due = true
 	}
@@ -703,9 +680,9 @@
 	for _, s := range p.servers {
 		if s.State == Ready {
 			fleet++
-		}
-		if s.State == Ready && s.bad {
-			out++
+			if s.bad {
+				out++
+			}
 		}
 	}
 	_, drops, _ := p.fleet(windowMs)
@@ -732,7 +709,10 @@
 	bad := math.Max(badShare, (1+good)/2)
 	score := 0.0
 	sums, n := p.periods(s, math.Inf(1)), 0
-	expect := p.expected(s) * p.set.ReportEveryMs / 1000
+	expect := 0.0
+	if !s.out {
+		expect = p.expected(s) * p.set.ReportEveryMs / 1000
+	}
 	for _, at := range p.fleetHeard {
 		for n < len(sums) && sums[n].at < at-p.set.ReportEveryMs/2 {
 			n++
@@ -754,23 +734,10 @@
 }
 
 // expected is the rate of flows that our tables send to a server.
-func (p *Planner) expected(s *server) float64 {
-	if s.out {
-		return 0
-	}
-	rate := 0.0
+func (p *Planner) expected(s *server) (rate float64) {
 	for _, c := range p.clients {
-		demand := p.demand(c)
 		for _, t := range c.tables {
-			sum := 0.0
-			for _, o := range p.servers { // not the map: the order of a sum shows in its last digit
-				if !o.out {
-					sum += t.lines[o]
-				}
-			}
-			if sum > 0 {
-				rate += t.lines[s] / sum * demand / copies
-			}
+			rate += t.lines[s] * p.demand(c) / copies
 		}
 	}
 	return rate
@@ -797,15 +764,11 @@
 	p.levelAt = p.now
 	span := levelMs + p.set.ReportEveryMs/2
 	latency, drops, good := p.fleet(span)
-	came, let := make([]float64, len(p.levels)), 0.0
-	all := 0.0
+	came, let, all := make([]float64, len(p.levels)), 0.0, 0.0
 	for _, c := range p.clients {
 		d := p.demand(c)
 		came[c.group] += d / p.levels[c.group].want
-		let += d
-	}
-	for _, d := range came {
-		all += d
+		let, all = let+d, all+d/p.levels[c.group].want
 	}
 	if all == 0 || latency == 0 {
 		return
@@ -822,15 +785,14 @@
 	for g := range order {
 		order[g] = g
 	}
-	yield := func(g int) float64 { return p.set.Groups[g].Utility / p.set.Groups[g].BudgetMs }
-	sort.SliceStable(order, func(a, b int) bool { return yield(order[a]) < yield(order[b]) })
+	sort.SliceStable(order, func(a, b int) bool {
+		g, h := p.set.Groups[order[a]], p.set.Groups[order[b]]
+		return g.Utility*h.BudgetMs < h.Utility*g.BudgetMs
+	})
 	cut := (1 - share) * all
 	for _, g := range order {
 		here := math.Min(cut, came[g]*(1-levelEach))
-		p.levels[g].want = 1
-		if here > 0 {
-			p.levels[g].want = math.Round((1-here/came[g])*20) / 20
-		}
+		p.levels[g].want = math.Round((1-here/math.Max(came[g], 1e-9))*20) / 20
 		cut -= here
 	}
 }
