--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,6 +40,7 @@
 	shyness     = 0.7    // part of the cold share that a start begins with; leaves room for chance
 
 	// Health.
+	patienceMs = 6000.0 // ms that a server may take to be heard first; cold ones are slow to answer
 	verdict    = 6.0    // nats; a dozen drops with nothing delivered, a false alarm in some 400 sums
 	sumMost    = 4.0    // nats that a single sum may add; one odd report is never enough
 	badShare   = 0.99   // share of drops of a dead server; one that delivers at all is full or slow, not dead
@@ -59,7 +60,7 @@
 	calm      = 0.35   // and below which levels may rise
 	dropsMost = 0.12   // share of flows dropped that means overload rather than chance
 	levelDown = 0.6    // most that one step may cut the flows let in to; sums may be late
-	drain     = 0.95   // part of the delivered rate let in during a jam, so that it drains
+	drain     = 0.85   // part of the delivered rate let in during a jam, so that it drains
 	levelUp   = 1.15   // times more let in when calm; some four steps undo a step down
 	levelEach = 0.1    // least level of a traffic group; some of it shows whether the jam is over
 
@@ -724,7 +725,7 @@
 		if n < len(sums) && sums[n].at < at+p.set.ReportEveryMs/2 {
 			a := sums[n]
 			add = a.failed*math.Log(bad/good) + (a.count-a.failed)*math.Log((1-bad)/(1-good))
-		} else {
+		} else if n > 0 || at > s.since+patienceMs {
 			// Silence where flows were sent is evidence of a hang, not of health.
 			add = expect * bad
 		}
