--- a/brain/brain.go
+++ b/brain/brain.go
@@ -809,7 +809,7 @@
 func (p *Planner) admit(h Host) bool {
 	for g := range p.levels {
 		l := &p.levels[g]
-		if l.want == l.sent || (l.sent >= 0 && !p.pay(1, p.proxies, false)) {
+		if l.want == l.sent || (l.sent >= 0 && !p.pay(1, p.proxies, true)) {
 			continue
 		}
 		l.sent = l.want
