--- a/brain/brain.go
+++ b/brain/brain.go
@@ -59,9 +59,10 @@
 	jam       = 0.5    // mean latency over latency budget above which a tenth or so is late
 	calm      = 0.35   // and below which levels may rise
 	dropsMost = 0.12   // share of flows dropped that means overload rather than chance
+	easing    = 0.85   // part of the last step's lateness that means that a jam drains
 	levelDown = 0.6    // most that one step may cut the flows let in to; sums may be late
 	drain     = 0.85   // part of the delivered rate let in during a jam, so that it drains
-	levelUp   = 1.15   // times more let in when calm; some four steps undo a step down
+	levelUp   = 0.3    // part more let in at each step while latency is nil, less the nearer it is to calm
 	levelEach = 0.1    // least level of a traffic group; some of it shows whether the jam is over
 
 	// The channel.
@@ -145,7 +146,8 @@
 
 	solvedAt, levelAt, thoughtAt float64
 	solves                       int
-	unsolved                     bool // what servers may be used has changed
+	late                         float64 // latency over budget at the last level step
+	unsolved                     bool    // what servers may be used has changed
 	fleetHeard                   []float64
 
 	// The channel: lines waiting, worked out when orders were last counted.
@@ -775,12 +777,15 @@
 		return
 	}
 	share := let / all
-	switch late := latency / p.budget(); {
-	case late > jam || drops > dropsMost:
+	late, before := latency/p.budget(), p.late
+	p.late = late
+	switch {
+	case (late > jam || drops > dropsMost) && late > before*easing:
+		// While lateness falls the last cut is at work: a second before it shows would be too deep.
 		// What is delivered now is what the fleet can do; less than that lets the jam drain.
 		share = math.Max(share*levelDown, math.Min(share, good/all*drain))
 	case late < calm && drops < dropsMost/2:
-		share = math.Min(1, share*levelUp)
+		share = math.Min(1, share*(1+levelUp*(1-late/calm)))
 	}
 	order := make([]int, len(came))
 	for g := range order {
