--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,14 +1,14 @@
 // Package brain decides for one planner: which tables its proxies follow, and when they hear of it.
 //
-// How to call it: New at each start, then the input methods (Listed, Joined, Left, Heard, Usage, Applied,
-// Woken) after a Tick with the time; they only update what is known. Then Next until it says false:
-// each call makes at most one decision, by one call on the Host. The interface is in host.go, the reasons
-// in docs/design.md.
+// How to call it: New at each start, then the input methods (Listed, Joined, Left, Heard, Usage, Applied)
+// after a Tick with the time; they only update what is known. Then Next until it says false: each call makes
+// at most one decision, by one call on the Host. The interface is in host.go, the reasons in docs/design.md.
 package brain
 
 import (
 	"math"
 	"math/rand"
+	"slices"
 	"sort"
 )
 
@@ -26,6 +26,7 @@
 	notable      = 0.25   // part of a line's weight; smaller moves are within the noise of sums
 	tiny         = 0.25   // part of an average line; a smaller one costs connections and brings little
 	shift        = 0.3    // part of all demand that moved; old prices and shares are forgotten then
+	thin         = 0.4    // part of a table's weight that is missing when it cannot wait for its turn
 	overshoot    = 0.005  // share of a table that a cold server's line may exceed its cap by; rounding
 	leastLines   = 3      // lines a table keeps; two may be lost at once before the table is bare
 
@@ -69,8 +70,6 @@
 	tidyShare   = 0.15   // part of the longest queue that tidy work may fill; the rest is for rules
 	urgentShare = 0.9    // part for urgent work; counts are estimates
 	slowest     = 6.0    // times slower that the channel is taken to be when receipts are late
-	receiptMs   = 5000.0 // ms; an unanswered receipt is given up then; the longest slow way is shorter
-	lateMs      = 500.0  // ms; a receipt this late beyond its longest way means a slow channel
 	askAgainMs  = 1200.0 // ms; first wait after a failed call for the list, doubled each time
 	wakeMs      = 200.0  // ms between looks when nothing comes in; well under every grace
 )
@@ -109,7 +108,7 @@
 	row         *TrafficGroup
 	cells       map[*server]cell
 	demand      float64 // at the last solve
-	tables      []*table
+	tables      [copies]*table
 }
 
 // cell holds the paper's variables for a client and a server.
@@ -142,6 +141,7 @@
 	proxies []*proxy // joined, in order of joining
 	byID    map[int]*proxy
 	clients []*client
+	tables  []*table
 	levels  []level
 
 	solvedAt, levelAt, thoughtAt float64
@@ -179,9 +179,9 @@
 	for z := 0; z < set.Zones; z++ {
 		for g := range set.Groups {
 			c := &client{zone: z, group: g, row: &p.set.Groups[g], cells: map[*server]cell{}}
-			for n := 0; n < copies; n++ {
-				c.tables = append(c.tables, &table{number: len(p.clients)*copies + n, client: c,
-					want: map[*server]float64{}, lines: map[*server]float64{}, due: true})
+			for n := range c.tables {
+				c.tables[n] = &table{number: len(p.tables), client: c, lines: map[*server]float64{}, due: true}
+				p.tables = append(p.tables, c.tables[n])
 			}
 			p.clients = append(p.clients, c)
 		}
@@ -194,9 +194,6 @@
 	p.now = now
 }
 
-// Woken ends the wait that Wake began.
-func (p *Planner) Woken() { p.wakeAt = math.Inf(-1) }
-
 // Listed updates the list.
 func (p *Planner) Listed(form ListForm, list []Entry) {
 	if form == Failed {
@@ -258,12 +255,7 @@
 func (p *Planner) Left(id int) {
 	gone := p.byID[id]
 	delete(p.byID, id)
-	for n, q := range p.proxies {
-		if q == gone {
-			p.proxies = append(p.proxies[:n:n], p.proxies[n+1:]...)
-			break
-		}
-	}
+	p.proxies = slices.DeleteFunc(slices.Clone(p.proxies), func(q *proxy) bool { return q == gone })
 }
 
 func keep[T any](list []T, last T, most int) []T {
@@ -738,10 +730,8 @@
 
 // expected is the rate of flows that our tables send to a server.
 func (p *Planner) expected(s *server) (rate float64) {
-	for _, c := range p.clients {
-		for _, t := range c.tables {
-			rate += t.lines[s] * p.demand(c) / copies
-		}
+	for _, t := range p.tables {
+		rate += t.lines[s] * p.demand(t.client) / copies
 	}
 	return rate
 }
@@ -850,7 +840,7 @@
 	}
 	for _, q := range to {
 		cost += lines
-		if n := len(q.sent); n > 0 && q.sent[n-1] == p.now {
+		if q.reached(p.now) {
 			continue
 		}
 		cost += p.set.HeadLines
@@ -869,13 +859,16 @@
 	}
 	p.waiting += cost
 	for _, q := range to {
-		if n := len(q.sent); n == 0 || q.sent[n-1] != p.now {
+		if !q.reached(p.now) {
 			q.sent = keep(q.sent, p.now, p.set.MostMessages+1)
 		}
 	}
 	return true
 }
 
+// reached says that a message leaves for the proxy in this tick.
+func (q *proxy) reached(now float64) bool { return len(q.sent) > 0 && q.sent[len(q.sent)-1] == now }
+
 // users are the proxies bound to a table.
 func (p *Planner) users(t *table) []*proxy {
 	var to []*proxy
@@ -904,10 +897,9 @@
 // setLine sends one line of a table.
 func (p *Planner) setLine(h Host, t *table, s *server) bool {
 	w := t.want[s]
+	t.lines[s] = w
 	if w == 0 {
 		delete(t.lines, s)
-	} else {
-		t.lines[s] = w
 	}
 	h.SetLine(t.number, s.Server, w)
 	return true
@@ -947,12 +939,7 @@
 					return p.setLine(h, t, s)
 				}
 			}
-			lines := 1.0 + float64(len(t.lines)+len(p.levels))
-			for s := range t.lines {
-				if s.out {
-					lines++
-				}
-			}
+			lines := 1 + float64(2*len(t.lines)+len(p.levels)) // as if all were withdrawn, at the most
 			if !p.pay(lines, []*proxy{q}, true) {
 				return false
 			}
@@ -970,33 +957,29 @@
 	if p.unsolved {
 		return false
 	}
-	for _, c := range p.clients {
-		for _, t := range c.tables {
-			to := p.users(t)
-			if len(to) == 0 {
-				continue
+	for _, t := range p.tables {
+		to, missing, all, live := p.users(t), 0.0, 0.0, 0
+		for _, s := range p.servers {
+			if p.ramp(s) < 1 && s.usable() && t.over(s) && len(t.lines) > 1 && p.pay(1, to, true) {
+				return p.setLine(h, t, s)
 			}
-			missing, all, live := 0.0, 0.0, 0
-			for _, s := range p.servers {
-				w, l := t.want[s], t.lines[s]
-				if p.ramp(s) < 1 && l > 1.5*w+overshoot && s.usable() && len(t.lines) > 1 && p.pay(1, to, true) {
-					return p.setLine(h, t, s)
-				}
-				if l > 0 && !s.out {
-					live++
-				}
-				missing, all = missing+math.Max(w-l, 0), all+w
+			if t.lines[s] > 0 && !s.out {
+				live++
 			}
-			if missing > 0.4*all || live < min(2, len(t.want)) {
-				if s := p.change(t, notable); s != nil && p.pay(1, to, true) {
-					return p.setLine(h, t, s)
-				}
+			missing, all = missing+math.Max(t.want[s]-t.lines[s], 0), all+t.want[s]
+		}
+		if len(to) > 0 && (missing > thin*all || live < min(2, len(t.want))) {
+			if s := p.change(t, notable); s != nil && p.pay(1, to, true) {
+				return p.setLine(h, t, s)
 			}
 		}
 	}
 	return false
 }
 
+// over says that a table holds more of a server than its ramp allows.
+func (t *table) over(s *server) bool { return t.lines[s] > 1.5*t.want[s]+overshoot }
+
 // readmit lets a withdrawn server back once no table holds more of it than its ramp allows.
 func (p *Planner) readmit(h Host) bool {
 	for _, s := range p.servers {
@@ -1004,10 +987,8 @@
 			continue
 		}
 		ready := true
-		for _, c := range p.clients {
-			for _, t := range c.tables {
-				ready = ready && t.lines[s] <= 1.5*t.want[s]+overshoot
-			}
+		for _, t := range p.tables {
+			ready = ready && !t.over(s)
 		}
 		if ready && p.pay(1, p.proxies, true) {
 			s.out = false
@@ -1020,18 +1001,16 @@
 
 // publish sends the notable changes of the copy whose turn it is.
 func (p *Planner) publish(h Host) bool {
-	for _, c := range p.clients {
-		for _, t := range c.tables {
-			to := p.users(t)
-			if !t.due || len(to) == 0 {
-				continue
-			}
-			s := p.change(t, notable)
-			if s == nil {
-				t.due = false
-			} else if p.pay(1, to, false) {
-				return p.setLine(h, t, s)
-			}
+	for _, t := range p.tables {
+		to := p.users(t)
+		if !t.due || len(to) == 0 {
+			continue
+		}
+		s := p.change(t, notable)
+		if s == nil {
+			t.due = false
+		} else if p.pay(1, to, false) {
+			return p.setLine(h, t, s)
 		}
 	}
 	return false
@@ -1039,12 +1018,12 @@
 
 // receipt asks how long the messages of this tick take, to learn whether the channel is slow.
 func (p *Planner) receipt(h Host) bool {
-	if p.answered < p.asked && p.now < p.receiptDue+receiptMs {
+	if p.answered < p.asked && p.now < p.receiptDue {
 		return false
 	}
 	var to []*proxy
 	for _, q := range p.proxies {
-		if n := len(q.sent); n > 0 && q.sent[n-1] == p.now {
+		if q.reached(p.now) {
 			to = append(to, q)
 		}
 	}
@@ -1053,7 +1032,7 @@
 	}
 	p.receipts = (p.receipts + 1) % 65536
 	p.asked, p.answered = len(to), 0
-	p.receiptDue = p.now + p.waiting/p.set.ChannelRate*1000 + p.set.LongestWayMs + lateMs
+	p.receiptDue = p.now + p.waiting/p.set.ChannelRate*1000 + 2*p.set.LongestWayMs
 	h.Receipt(p.receipts)
 	return true
 }
--- a/internal/wire/events.go
+++ b/internal/wire/events.go
@@ -52,10 +52,7 @@
 		}
 		return decode(in, raw, &m, func(p *brain.Planner) { p.Applied(m.Proxy, m.Number, m.TookMs) })
 	},
-	"Ring": func(in *instance, raw []byte) error {
-		var m struct{ Nonce uint64 }
-		return decode(in, raw, &m, func(p *brain.Planner) { p.Woken() })
-	},
+	"Ring": skip, // being called is all that a timer is for
 	// Known and not needed: probes, slices, and messages among instances.
 	"Health":     skip,
 	"Datagram":   skip,
