--- a/brain/brain.go
+++ b/brain/brain.go
@@ -91,7 +91,6 @@
 	badUntil float64
 	verdicts int
 	tried    float64 // when it was let back after a verdict
-	rampFrom float64 // its cap starts low here; -Inf for a warm server
 }
 
 type proxy struct {
@@ -202,33 +201,28 @@
 		return
 	}
 	if form != Restored {
-		p.askWait = askAgainMs
-		p.following = true
+		p.askWait, p.following = askAgainMs, true
 	}
 	p.unsolved = true
-	seen := map[string]bool{}
+	seen := map[*server]bool{}
 	for _, e := range list {
 		if e.Zone < 0 || e.Zone >= p.set.Zones {
 			continue
 		}
-		seen[e.Server] = true
 		s := p.byName[e.Server]
 		if s == nil {
-			s = &server{since: p.now, tried: math.Inf(-1), rampFrom: e.BornMs}
-			if e.BornMs == 0 {
-				s.rampFrom = math.Inf(-1)
-			}
-			p.byName[e.Server] = s
-			p.servers = append(p.servers, s)
-		} else if e.State == Ready && (e.BornMs > s.BornMs || s.State == Gone) {
+			s = &server{}
+			p.byName[e.Server], p.servers = s, append(p.servers, s)
+		}
+		if s.Server == "" || e.BornMs > s.BornMs {
 			// A server that came back cold under its old name: nothing heard of it holds any more.
-			*s = server{out: s.out, since: p.now, tried: math.Inf(-1), rampFrom: math.Max(e.BornMs, p.now-p.set.WarmUpMs)}
+			*s = server{out: s.out, since: p.now, tried: math.Inf(-1)}
 		}
-		s.Entry = e
+		s.Entry, seen[s] = e, true
 		s.Size = math.Max(e.Size, 1e-6)
 	}
 	for _, s := range p.servers {
-		if form != Change && !seen[s.Server] {
+		if form != Change && !seen[s] {
 			s.State = Gone
 		}
 	}
@@ -301,8 +295,8 @@
 		p.levelIfDue()
 		p.solveIfDue()
 	}
-	return p.follow(h) || p.withdraw(h) || p.bind(h) || p.rescue(h) || p.readmit(h) || p.admit(h) ||
-		p.publish(h) || p.receipt(h) || p.wake(h)
+	return p.follow(h) || p.withdraw(h) || p.bind(h) || p.publish(h, true) || p.readmit(h) || p.admit(h) ||
+		p.publish(h, false) || p.receipt(h) || p.wake(h)
 }
 
 // ---- the list ----
@@ -323,7 +317,7 @@
 // ramp is the part of its cap that a server may be given: a cold one starts low and doubles.
 func (p *Planner) ramp(s *server) float64 {
 	part := math.Min(1, trialShare*math.Exp2((p.now-s.tried)/trialMs))
-	if age := p.now - s.rampFrom; age < p.set.WarmUpMs {
+	if age := p.now - s.BornMs; s.BornMs > 0 && age < p.set.WarmUpMs {
 		part = math.Min(part, shyness*p.set.ColdShare*math.Exp2(math.Max(age, 0)/doubleMs))
 	}
 	return part
@@ -339,15 +333,14 @@
 		if a.at <= s.since || a.at <= p.now-span || (a.zone != s.Zone && p.shut(a.zone, s.Zone)) {
 			continue
 		}
-		if n := len(out) - 1; n >= 0 && a.at-out[n].at <= p.set.ReportEveryMs/2 {
-			b := &out[n]
-			if good := a.count - a.failed + b.count - b.failed; good > 0 {
-				b.latency = (a.latency*(a.count-a.failed) + b.latency*(b.count-b.failed)) / good
-			}
-			b.count, b.failed = a.count+b.count, a.failed+b.failed
+		n := len(out) - 1
+		if n < 0 || a.at-out[n].at > p.set.ReportEveryMs/2 {
+			out = append(out, a)
 			continue
 		}
-		out = append(out, a)
+		b, good := &out[n], a.count-a.failed
+		b.latency = (b.latency*(b.count-b.failed) + a.latency*good) / math.Max(b.count-b.failed+good, 1)
+		b.count, b.failed = a.count+b.count, a.failed+b.failed
 	}
 	return out
 }
@@ -393,14 +386,12 @@
 	}
 	for n := range p.links {
 		l := &p.links[n]
-		if failed[n] < cutDrops || failed[n] < cutShare*count[n] || p.now < l.shutAt+l.shutFor+cutMs {
-			continue
-		}
-		l.shutFor = math.Min(2*l.shutFor, outLongest)
-		if p.now > l.shutAt+2*l.shutFor {
-			l.shutFor = outMs
+		if failed[n] >= math.Max(cutDrops, cutShare*count[n]) && p.now >= l.shutAt+l.shutFor+cutMs {
+			if l.shutFor = math.Min(2*l.shutFor, outLongest); p.now > l.shutAt+2*l.shutFor {
+				l.shutFor = outMs
+			}
+			l.shutAt, p.unsolved = p.now, true
 		}
-		l.shutAt, p.unsolved = p.now, true
 	}
 }
 
@@ -513,14 +504,12 @@
 	changed = changed || moved > shift*total
 	unit := math.Max(total, leastDemand) / float64(I)
 	for j := range C {
-		C[j] *= math.Max(total, leastDemand) / unit
+		C[j] *= float64(I)
 	}
 	// L is taken per zone: within one, lows show the speed of servers, which their caps have already.
 	typical, _ := p.typical(js)
-	low := make([]float64, p.set.Zones)
-	for z := range low {
-		low[z] = math.Max(typical, 1)
-	}
+	typical = math.Max(typical, 1)
+	low := slices.Repeat([]float64{typical}, p.set.Zones)
 	for _, s := range js {
 		if L := p.floor(s); L > 0 {
 			low[s.Zone] = math.Min(low[s.Zone], L)
@@ -535,7 +524,7 @@
 			if s.Zone != c.zone {
 				L += p.set.CrossPrice * c.row.BudgetMs
 			}
-			cost[i][j] = L / math.Max(typical, 1) / J * step
+			cost[i][j] = L / typical / J * step
 			if s.Zone != c.zone && (c.row.OnlyZone || p.shut(c.zone, s.Zone)) {
 				cost[i][j] = math.Inf(1)
 				continue
@@ -673,11 +662,11 @@
 func (p *Planner) judge() {
 	fleet, out := 0.0, 1.0
 	for _, s := range p.servers {
+		if s.State == Ready && s.bad {
+			out++
+		}
 		if s.State == Ready {
 			fleet++
-			if s.bad {
-				out++
-			}
 		}
 	}
 	_, drops, _ := p.fleet(windowMs)
@@ -704,10 +693,7 @@
 	bad := math.Max(badShare, (1+good)/2)
 	score := 0.0
 	sums, n := p.periods(s, math.Inf(1)), 0
-	expect := 0.0
-	if !s.out {
-		expect = p.expected(s) * p.set.ReportEveryMs / 1000
-	}
+	expect := p.expected(s) * p.set.ReportEveryMs / 1000 // nothing while it is out
 	for _, at := range p.fleetHeard {
 		for n < len(sums) && sums[n].at < at-p.set.ReportEveryMs/2 {
 			n++
@@ -717,11 +703,10 @@
 		}
 		add := 0.0
 		if n < len(sums) && sums[n].at < at+p.set.ReportEveryMs/2 {
-			a := sums[n]
-			add = a.failed*math.Log(bad/good) + (a.count-a.failed)*math.Log((1-bad)/(1-good))
+			f := sums[n].failed
+			add = f*math.Log(bad/good) + (sums[n].count-f)*math.Log((1-bad)/(1-good))
 		} else if n > 0 || at > s.since+patienceMs {
-			// Silence where flows were sent is evidence of a hang, not of health.
-			add = expect * bad
+			add = expect * bad // silence where flows were sent is evidence of a hang, not of health
 		}
 		score = math.Max(0, score+math.Max(-sumMost, math.Min(add, sumMost)))
 	}
@@ -731,6 +716,9 @@
 // expected is the rate of flows that our tables send to a server.
 func (p *Planner) expected(s *server) (rate float64) {
 	for _, t := range p.tables {
+		if s.out {
+			break
+		}
 		rate += t.lines[s] * p.demand(t.client) / copies
 	}
 	return rate
@@ -905,24 +893,36 @@
 	return true
 }
 
-// change is the next line of a table to send: additions before removals, so that no table runs bare.
-func (p *Planner) change(t *table, least float64) *server {
+// change is the next line of a table to send, additions before removals so that no table runs bare. It cannot
+// wait for its copy's turn where the table holds too much of a cold server or has lost much of its weight.
+func (p *Planner) change(t *table, least float64) (next *server, hurry bool) {
+	missing, all, live := 0.0, 0.0, 0
 	var drop *server
 	for _, s := range p.servers {
 		w, l := t.want[s], t.lines[s]
-		if w > 0 && math.Abs(w-l) > least*l {
-			return s
+		if p.ramp(s) < 1 && s.usable() && t.over(s) && len(t.lines) > 1 {
+			return s, true
 		}
-		if w == 0 && l > 0 && drop == nil {
+		if l > 0 && !s.out {
+			live++
+		}
+		missing, all = missing+math.Max(w-l, 0), all+w
+		if w > 0 && math.Abs(w-l) > least*l && next == nil {
+			next = s
+		}
+		if w == 0 && l > 0 {
 			drop = s
 		}
 	}
-	if len(t.want) == 0 {
-		return nil // never empty a table
+	if next != nil || len(t.want) == 0 { // never empty a table
+		return next, missing > thin*all || live < min(2, len(t.want))
 	}
-	return drop
+	return drop, false
 }
 
+// over says that a table holds more of a server than its ramp allows.
+func (t *table) over(s *server) bool { return t.lines[s] > 1.5*t.want[s]+overshoot }
+
 // bind hands newly joined proxies their tables, whole.
 func (p *Planner) bind(h Host) bool {
 	if p.set.Sliced {
@@ -935,7 +935,7 @@
 				continue
 			}
 			if len(p.users(t)) == 0 {
-				if s := p.change(t, 0); s != nil {
+				if s, _ := p.change(t, 0); s != nil {
 					return p.setLine(h, t, s)
 				}
 			}
@@ -951,35 +951,6 @@
 	return false
 }
 
-// rescue sends lines that cannot wait for their copy's turn: those that hold too much of a cold server,
-// and those of a table that has lost much of its weight.
-func (p *Planner) rescue(h Host) bool {
-	if p.unsolved {
-		return false
-	}
-	for _, t := range p.tables {
-		to, missing, all, live := p.users(t), 0.0, 0.0, 0
-		for _, s := range p.servers {
-			if p.ramp(s) < 1 && s.usable() && t.over(s) && len(t.lines) > 1 && p.pay(1, to, true) {
-				return p.setLine(h, t, s)
-			}
-			if t.lines[s] > 0 && !s.out {
-				live++
-			}
-			missing, all = missing+math.Max(t.want[s]-t.lines[s], 0), all+t.want[s]
-		}
-		if len(to) > 0 && (missing > thin*all || live < min(2, len(t.want))) {
-			if s := p.change(t, notable); s != nil && p.pay(1, to, true) {
-				return p.setLine(h, t, s)
-			}
-		}
-	}
-	return false
-}
-
-// over says that a table holds more of a server than its ramp allows.
-func (t *table) over(s *server) bool { return t.lines[s] > 1.5*t.want[s]+overshoot }
-
 // readmit lets a withdrawn server back once no table holds more of it than its ramp allows.
 func (p *Planner) readmit(h Host) bool {
 	for _, s := range p.servers {
@@ -999,17 +970,16 @@
 	return false
 }
 
-// publish sends the notable changes of the copy whose turn it is.
-func (p *Planner) publish(h Host) bool {
+// publish sends the notable changes of the copy whose turn it is, and at once those that cannot wait.
+func (p *Planner) publish(h Host, urgent bool) bool {
 	for _, t := range p.tables {
 		to := p.users(t)
-		if !t.due || len(to) == 0 {
+		if len(to) == 0 || urgent && p.unsolved || !urgent && !t.due {
 			continue
 		}
-		s := p.change(t, notable)
-		if s == nil {
-			t.due = false
-		} else if p.pay(1, to, false) {
+		s, hurry := p.change(t, notable)
+		t.due = t.due && s != nil
+		if s != nil && hurry == urgent && p.pay(1, to, urgent) {
 			return p.setLine(h, t, s)
 		}
 	}
