--- a/brain/brain.go
+++ b/brain/brain.go
@@ -32,9 +32,8 @@
 
 	// What is heard.
 	keepSamples = 24     // sums kept of each server and proxy; a floor is sought in all of them
-	windowMs    = 5000.0 // ms; some 25 flows a server at the smallest sites: a mean within a sixth
+	windowMs    = 3500.0 // ms; three sums or more; longer ones show a trouble too late
 	capLeast    = 0.08   // part of a nominal cap; less would leave a slow server unheard
-	capMost     = 2.5    // part of a nominal cap; listed sizes are rough but not twice wrong
 	sureAfter   = 3      // sums after which a floor counts half; fewer are chance
 	jamSlack    = 1.5    // times the fleet's ratio of latency to floor that is no jam; sums are noisy
 	doubleMs    = 5000.0 // ms; the design's doubling time of a new server's cap
@@ -455,7 +454,7 @@
 	if count >= 4 && latency > 0 {
 		f *= math.Min(1, jamSlack*jammed*own/latency) * (1 - failed/count)
 	}
-	return math.Min(math.Max(f, capLeast), capMost)
+	return math.Max(f, capLeast)
 }
 
 // typical is the middle floor of servers in use, and the middle of how far latencies lie above floors.
