--- a/brain/brain.go
+++ b/brain/brain.go
@@ -37,17 +37,20 @@
 	sureAfter   = 3      // sums after which a floor counts half; fewer are chance
 	jamSlack    = 1.5    // times the fleet's ratio of latency to floor that is no jam; sums are noisy
 	doubleMs    = 5000.0 // ms; the design's doubling time of a new server's cap
-	shyness     = 0.7    // part of the cold share that a start begins with; leaves room for chance
+	shyness     = 0.5    // part of the cold share that a start begins with; the pick of two may double it
 
 	// Health.
 	patienceMs = 6000.0 // ms that a server may take to be heard first; cold ones are slow to answer
 	verdict    = 6.0    // nats; a dozen drops with nothing delivered, a false alarm in some 400 sums
 	sumMost    = 4.0    // nats that a single sum may add; one odd report is never enough
 	badShare   = 0.99   // share of drops of a dead server; one that delivers at all is full or slow, not dead
-	goodShare  = 0.6    // share of drops that a full server may have; its cap shrinks, it is not put out
+	goodShare  = 0.6    // least share of drops that a full server may have; its cap shrinks, it is not put out
+	goodMost   = 0.95   // and the most, where the middle server drops half; an overload condemns nobody
 	outMost    = 0.3    // part of the fleet out at once; beyond it the evidence is doubted
 	outMs      = 5000.0 // ms; first stay out, doubled with each verdict: most hangs last 5 to 20 s
 	outLongest = 20000.0
+	restMost   = 0.6    // part of the fleet that may be out when cold ones rest; the others are mostly warm
+	jamDrops   = 0.3    // share of drops at the middle server in which cold ones rest
 	trialShare = 0.2    // part of its cap that a server is let back with; a second verdict costs little
 	trialMs    = 1500.0 // ms in which that part doubles; full again in some three report periods
 	cutMs      = 3000.0 // ms looked back for a cut between zones; two or three report periods
@@ -66,11 +69,22 @@
 	levelEach = 0.1    // least level of a traffic group; some of it shows whether the jam is over
 
 	// The channel.
-	tidyShare   = 0.15   // part of the longest queue that tidy work may fill; the rest is for rules
-	urgentShare = 0.9    // part for urgent work; counts are estimates
-	slowest     = 6.0    // times slower that the channel is taken to be when receipts are late
-	askAgainMs  = 1200.0 // ms; first wait after a failed call for the list, doubled each time
-	wakeMs      = 200.0  // ms between looks when nothing comes in; well under every grace
+	slowest    = 6.0    // times slower that the channel is taken to be when receipts are late
+	askAgainMs = 1200.0 // ms; first wait after a failed call for the list, doubled each time
+	wakeMs     = 200.0  // ms between looks when nothing comes in; well under every grace
+)
+
+// Urgency of an order: tidy work leaves room in the channel for what cannot wait, and both for what the
+// rules ask for at once.
+const (
+	tidy = iota
+	urgent
+	ruled
+)
+
+var (
+	queueShare   = [...]float64{tidy: 0.15, urgent: 0.6, ruled: 0.9}  // part of the longest queue
+	messageShare = [...]float64{tidy: 0.5, urgent: 0.67, ruled: 0.92} // part of the messages in a span
 )
 
 // sum is what proxies met at a server in one report period, or what came to a proxy.
@@ -89,6 +103,7 @@
 	since    float64 // last verdict, return or start: evidence before it is void
 	badUntil float64
 	verdicts int
+	told     float64 // when its state in the list changed
 	tried    float64 // when it was let back after a verdict
 }
 
@@ -214,15 +229,20 @@
 			p.byName[e.Server], p.servers = s, append(p.servers, s)
 		}
 		if s.Server == "" || e.BornMs > s.BornMs {
-			// A server that came back cold under its old name: nothing heard of it holds any more.
-			*s = server{out: s.out, since: p.now, tried: math.Inf(-1)}
+			// Back cold under its old name: nothing heard of it holds any more, and what old tables sent it
+			// counts against its budget, so that it rests until that is out of the window.
+			rest := e.BornMs > p.now-p.set.WarmUpMs && (s.Server != "" || p.solves == 0)
+			*s = server{out: s.out, since: p.now, tried: math.Inf(-1), bad: rest, badUntil: p.now + 2*p.set.FallMs}
+		}
+		if e.State != s.State {
+			s.told = p.now
 		}
 		s.Entry, seen[s] = e, true
 		s.Size = math.Max(e.Size, 1e-6)
 	}
 	for _, s := range p.servers {
-		if form != Change && !seen[s] {
-			s.State = Gone
+		if form != Change && !seen[s] && s.State != Gone {
+			s.State, s.told = Gone, p.now
 		}
 	}
 }
@@ -294,8 +314,8 @@
 		p.levelIfDue()
 		p.solveIfDue()
 	}
-	return p.follow(h) || p.withdraw(h) || p.bind(h) || p.publish(h, true) || p.readmit(h) || p.admit(h) ||
-		p.publish(h, false) || p.receipt(h) || p.wake(h)
+	return p.follow(h) || p.withdraw(h) || p.bind(h) || p.publish(h, urgent) || p.readmit(h) || p.admit(h) ||
+		p.publish(h, tidy) || p.receipt(h) || p.wake(h)
 }
 
 // ---- the list ----
@@ -313,11 +333,13 @@
 // usable servers are listed ready and not judged bad.
 func (s *server) usable() bool { return s.State == Ready && !s.bad }
 
+func (p *Planner) cold(s *server) bool { return s.BornMs > 0 && p.now-s.BornMs < p.set.WarmUpMs }
+
 // ramp is the part of its cap that a server may be given: a cold one starts low and doubles.
 func (p *Planner) ramp(s *server) float64 {
 	part := math.Min(1, trialShare*math.Exp2((p.now-s.tried)/trialMs))
-	if age := p.now - s.BornMs; s.BornMs > 0 && age < p.set.WarmUpMs {
-		part = math.Min(part, shyness*p.set.ColdShare*math.Exp2(math.Max(age, 0)/doubleMs))
+	if p.cold(s) {
+		part = math.Min(part, shyness*p.set.ColdShare*math.Exp2(math.Max(p.now-s.BornMs, 0)/doubleMs))
 	}
 	return part
 }
@@ -492,7 +514,7 @@
 // split solves for all clients and sets what their tables should hold.
 func (p *Planner) split(js []*server, changed bool) {
 	I, J := len(p.clients), float64(len(js))
-	D, C, cost, x := make([]float64, I), p.caps(js), make([][]float64, I), make([][]cell, I)
+	D, cost, x := make([]float64, I), make([][]float64, I), make([][]cell, I)
 	total, moved := 0.0, 0.0
 	for i, c := range p.clients {
 		D[i] = p.demand(c)
@@ -501,6 +523,7 @@
 	}
 	// An old price of congestion is forgotten after a shift of demand or servers.
 	changed = changed || moved > shift*total
+	C := p.caps(js, total)
 	unit := math.Max(total, leastDemand) / float64(I)
 	for j := range C {
 		C[j] *= float64(I)
@@ -566,10 +589,11 @@
 
 // caps are the paper's C as parts of all demand: listed size times fit, brought to the demand with some room.
 // Those of cold servers are not scaled up: they would be pushed over.
-func (p *Planner) caps(js []*server) []float64 {
+func (p *Planner) caps(js []*server, total float64) []float64 {
 	C := make([]float64, len(js))
 	typical, jammed := p.typical(js)
-	latency, _, _ := p.fleet(windowMs)
+	latency, _, delivered := p.fleet(windowMs)
+	able := math.Min(1, math.Max(delivered, leastDemand*total)/math.Max(total, leastDemand))
 	room := headroom + calmRoom*math.Max(0, 1-latency/p.budget()/calm)
 	warm, cold, size := 0.0, 0.0, 0.0
 	for _, s := range js {
@@ -578,6 +602,8 @@
 	for j, s := range js {
 		C[j] = s.Size / size * p.fit(s, typical, jammed) * p.ramp(s)
 		if p.ramp(s) < 1 {
+			// Of what the fleet delivers, not of what comes: in a jam all flows run to the least busy.
+			C[j] *= able
 			cold += C[j]
 		} else {
 			warm += C[j]
@@ -674,6 +700,10 @@
 		case s.State != Ready:
 		case s.bad && p.now >= s.badUntil:
 			s.bad, s.since, s.tried, p.unsolved = false, p.now, p.now, true
+		case p.cold(s) && !s.bad && drops > jamDrops && out <= restMost*fleet:
+			// Proxies keep away from servers that drop and try others: a cold one would get it all.
+			out++
+			s.bad, s.badUntil, p.unsolved = true, p.now+p.set.FallMs, true
 		case s.bad || p.evidence(s, drops) < verdict || out > outMost*fleet:
 			// Many bad servers at once are more likely a fault of what we hear: a cut, a jam, stale news.
 		default:
@@ -688,8 +718,7 @@
 // evidence is a CUSUM of log likelihood ratios: failing against sound, by drops, lateness and silence.
 // The fleet's own share of drops counts as sound, so that an overload condemns nobody.
 func (p *Planner) evidence(s *server, drops float64) float64 {
-	good := math.Min(math.Max(goodShare, 2*drops), 0.8)
-	bad := math.Max(badShare, (1+good)/2)
+	good := math.Min(math.Max(goodShare, 2*drops), goodMost)
 	score := 0.0
 	sums, n := p.periods(s, math.Inf(1)), 0
 	expect := p.expected(s) * p.set.ReportEveryMs / 1000 // nothing while it is out
@@ -703,9 +732,9 @@
 		add := 0.0
 		if n < len(sums) && sums[n].at < at+p.set.ReportEveryMs/2 {
 			f := sums[n].failed
-			add = f*math.Log(bad/good) + (sums[n].count-f)*math.Log((1-bad)/(1-good))
+			add = f*math.Log(badShare/good) + (sums[n].count-f)*math.Log((1-badShare)/(1-good))
 		} else if n > 0 || at > s.since+patienceMs {
-			add = expect * bad // silence where flows were sent is evidence of a hang, not of health
+			add = expect // silence where flows were sent is evidence of a hang, not of health
 		}
 		score = math.Max(0, score+math.Max(-sumMost, math.Min(add, sumMost)))
 	}
@@ -791,7 +820,7 @@
 func (p *Planner) admit(h Host) bool {
 	for g := range p.levels {
 		l := &p.levels[g]
-		if l.want == l.sent || (l.sent >= 0 && !p.pay(1, p.proxies, true)) {
+		if l.want == l.sent || (l.sent >= 0 && !p.pay(1, p.proxies, urgent)) {
 			continue
 		}
 		l.sent = l.want
@@ -818,30 +847,26 @@
 }
 
 // pay counts an order of so many lines to each of some proxies, if the channel and they have room for it.
-// Urgent work keeps the hard limits, tidy work leaves most of the room to it.
-func (p *Planner) pay(lines float64, to []*proxy, urgent bool) bool {
+func (p *Planner) pay(lines float64, to []*proxy, urgency int) bool {
 	cost := 0.0
-	room, messages := p.set.MostWaiting*urgentShare, p.set.MostMessages-1
-	if !urgent {
-		room, messages = p.set.MostWaiting*tidyShare, p.set.MostMessages/2
-	}
+	room, messages := p.set.MostWaiting*queueShare[urgency], float64(p.set.MostMessages)*messageShare[urgency]
 	for _, q := range to {
 		cost += lines
 		if q.reached(p.now) {
 			continue
 		}
 		cost += p.set.HeadLines
-		recent := 0
+		recent := 1.0
 		for _, at := range q.sent {
 			if at > p.now-p.set.MessageSpanMs {
 				recent++
 			}
 		}
-		if p.set.MostMessages > 0 && recent >= messages {
+		if p.set.MostMessages > 0 && recent > messages {
 			return false
 		}
 	}
-	if waiting := p.queue(); waiting+cost > room && (waiting > 0 || !urgent) {
+	if waiting := p.queue(); waiting+cost > room && (waiting > 0 || urgency < ruled) {
 		return false
 	}
 	p.waiting += cost
@@ -872,7 +897,12 @@
 // withdraw shuts out servers that drain, are gone or were judged bad.
 func (p *Planner) withdraw(h Host) bool {
 	for _, s := range p.servers {
-		if !s.usable() && !s.out && p.pay(1, p.proxies, true) {
+		if s.usable() || s.out {
+			continue
+		}
+		// A drain waits for others to share its message only while messages are short, and never too long.
+		last := s.told + p.set.GraceMs/2 - p.set.LongestWayMs
+		if p.pay(1, p.proxies, urgent) || (s.State != Ready || p.cold(s)) && p.now >= last && p.pay(1, p.proxies, ruled) {
 			s.out = true
 			h.Withdraw(s.Server, true)
 			return true
@@ -939,7 +969,7 @@
 				}
 			}
 			lines := 1 + float64(2*len(t.lines)+len(p.levels)) // as if all were withdrawn, at the most
-			if !p.pay(lines, []*proxy{q}, true) {
+			if !p.pay(lines, []*proxy{q}, ruled) {
 				return false
 			}
 			q.bound[g] = t
@@ -960,7 +990,7 @@
 		for _, t := range p.tables {
 			ready = ready && !t.over(s)
 		}
-		if ready && p.pay(1, p.proxies, true) {
+		if ready && p.pay(1, p.proxies, urgent) {
 			s.out = false
 			h.Withdraw(s.Server, false)
 			return true
@@ -970,15 +1000,15 @@
 }
 
 // publish sends the notable changes of the copy whose turn it is, and at once those that cannot wait.
-func (p *Planner) publish(h Host, urgent bool) bool {
+func (p *Planner) publish(h Host, urgency int) bool {
 	for _, t := range p.tables {
 		to := p.users(t)
-		if len(to) == 0 || urgent && p.unsolved || !urgent && !t.due {
+		if len(to) == 0 || urgency == urgent && p.unsolved || urgency == tidy && !t.due {
 			continue
 		}
 		s, hurry := p.change(t, notable)
 		t.due = t.due && s != nil
-		if s != nil && hurry == urgent && p.pay(1, to, urgent) {
+		if s != nil && hurry == (urgency == urgent) && p.pay(1, to, urgency) {
 			return p.setLine(h, t, s)
 		}
 	}
@@ -996,7 +1026,7 @@
 			to = append(to, q)
 		}
 	}
-	if len(to) == 0 || !p.pay(1, to, false) {
+	if len(to) == 0 || !p.pay(1, to, tidy) {
 		return false
 	}
 	p.receipts = (p.receipts + 1) % 65536
--- a/brain/host.go
+++ b/brain/host.go
@@ -46,6 +46,8 @@
 	ReportEveryMs float64
 	ColdShare     float64 // share of its capacity that a server starts with
 	WarmUpMs      float64 // time after which a server is warm
+	GraceMs       float64 // time after which nothing may be sent to a server known to drain
+	FallMs        float64 // window in which a cold server sent too much falls over
 	CrossPrice    float64 // utility lost by a flow that leaves its zone
 }
 
--- a/internal/wire/events.go
+++ b/internal/wire/events.go
@@ -129,7 +129,7 @@
 				StaysLocal                                []bool
 			}
 			Prices struct{ CrossZone float64 }
-			Rules  struct{ AskWithinMs, ColdShare, WarmUpMs float64 }
+			Rules  struct{ AskWithinMs, ColdShare, WarmUpMs, FallMs, StopSendingWithinMs float64 }
 		}
 	}
 	if err := json.Unmarshal(raw, &m); err != nil {
@@ -143,7 +143,7 @@
 		MustFollow: i.Discovery == "subscribe", AskWithinMs: i.Rules.AskWithinMs,
 		Sliced: f.Slices > 0, ChannelRate: f.ChannelRate, HeadLines: f.PerMessage, MostWaiting: f.MostWaiting,
 		MostMessages: f.PushesAllowed, MessageSpanMs: f.ReloadSpanMs, LongestWayMs: f.TransitMaxMs,
-		ReportEveryMs: f.ReportEveryMs, ColdShare: i.Rules.ColdShare, WarmUpMs: i.Rules.WarmUpMs,
+		ReportEveryMs: f.ReportEveryMs, ColdShare: i.Rules.ColdShare, WarmUpMs: i.Rules.WarmUpMs, FallMs: i.Rules.FallMs, GraceMs: i.Rules.StopSendingWithinMs,
 		CrossPrice: i.Prices.CrossZone,
 	}
 	for k, c := range i.Classes {
