--- a/brain/brain.go
+++ b/brain/brain.go
@@ -50,6 +50,7 @@
 	outMs      = 5000.0 // ms; first stay out, doubled with each verdict: most hangs last 5 to 20 s
 	outLongest = 20000.0
 	restMost   = 0.6    // part of the fleet that may be out when cold ones rest; the others are mostly warm
+	settleMs   = 5000.0 // ms after which a proxy has been heard and has dropped what it held against servers
 	jamDrops   = 0.3    // share of drops at the middle server in which cold ones rest
 	trialShare = 0.2    // part of its cap that a server is let back with; a second verdict costs little
 	trialMs    = 1500.0 // ms in which that part doubles; full again in some three report periods
@@ -109,7 +110,7 @@
 
 type proxy struct {
 	id, zone, copy int
-	usual          float64   // flows per second by its own word
+	usual, joined  float64   // flows per second by its own word; when its stream came up
 	usage          [][]sum   // by traffic group
 	bound          []*table  // by traffic group
 	sent           []float64 // times of the last messages
@@ -231,7 +232,7 @@
 		if s.Server == "" || e.BornMs > s.BornMs {
 			// Back cold under its old name: nothing heard of it holds any more, and what old tables sent it
 			// counts against its budget, so that it rests until that is out of the window.
-			rest := e.BornMs > p.now-p.set.WarmUpMs && (s.Server != "" || p.solves == 0)
+			rest := e.BornMs > p.now-p.set.WarmUpMs && s.Server != ""
 			*s = server{out: s.out, since: p.now, tried: math.Inf(-1), bad: rest, badUntil: p.now + 2*p.set.FallMs}
 		}
 		if e.State != s.State {
@@ -253,7 +254,7 @@
 	if zone < 0 || zone >= p.set.Zones {
 		return
 	}
-	q := &proxy{id: id, zone: zone, usual: usual, usage: make([][]sum, len(p.set.Groups)),
+	q := &proxy{id: id, zone: zone, usual: usual, joined: p.now, usage: make([][]sum, len(p.set.Groups)),
 		bound: make([]*table, len(p.set.Groups))}
 	for _, o := range p.proxies {
 		if o.zone == zone {
@@ -314,7 +315,7 @@
 		p.levelIfDue()
 		p.solveIfDue()
 	}
-	return p.follow(h) || p.withdraw(h) || p.bind(h) || p.publish(h, urgent) || p.readmit(h) || p.admit(h) ||
+	return p.follow(h) || p.withdraw(h) || p.publish(h, ruled) || p.bind(h) || p.publish(h, urgent) || p.readmit(h) || p.admit(h) ||
 		p.publish(h, tidy) || p.receipt(h) || p.wake(h)
 }
 
@@ -695,12 +696,19 @@
 		}
 	}
 	_, drops, _ := p.fleet(windowMs)
+	unheard := 0
+	for _, q := range p.proxies {
+		if p.now-q.joined < settleMs {
+			unheard++
+		}
+	}
+	rough := drops > jamDrops || unheard > len(p.proxies)/3 // or may be, beyond what is heard
 	for _, s := range p.servers {
 		switch {
 		case s.State != Ready:
 		case s.bad && p.now >= s.badUntil:
 			s.bad, s.since, s.tried, p.unsolved = false, p.now, p.now, true
-		case p.cold(s) && !s.bad && drops > jamDrops && out <= restMost*fleet:
+		case p.cold(s) && !s.bad && rough && out <= restMost*fleet:
 			// Proxies keep away from servers that drop and try others: a cold one would get it all.
 			out++
 			s.bad, s.badUntil, p.unsolved = true, p.now+p.set.FallMs, true
@@ -924,13 +932,13 @@
 
 // change is the next line of a table to send, additions before removals so that no table runs bare. It cannot
 // wait for its copy's turn where the table holds too much of a cold server or has lost much of its weight.
-func (p *Planner) change(t *table, least float64) (next *server, hurry bool) {
+func (p *Planner) change(t *table, least float64) (next *server, urgency int) {
 	missing, all, live := 0.0, 0.0, 0
 	var drop *server
 	for _, s := range p.servers {
 		w, l := t.want[s], t.lines[s]
 		if p.ramp(s) < 1 && s.usable() && t.over(s) && len(t.lines) > 1 {
-			return s, true
+			return s, urgent
 		}
 		if l > 0 && !s.out {
 			live++
@@ -943,10 +951,15 @@
 			drop = s
 		}
 	}
-	if next != nil || len(t.want) == 0 { // never empty a table
-		return next, missing > thin*all || live < min(2, len(t.want))
-	}
-	return drop, false
+	switch {
+	case next != nil && live == 0:
+		return next, ruled
+	case next != nil && (missing > thin*all || live == 1):
+		return next, urgent
+	case next != nil || len(t.want) == 0: // never empty a table
+		return next, tidy
+	}
+	return drop, tidy
 }
 
 // over says that a table holds more of a server than its ramp allows.
@@ -1003,12 +1016,12 @@
 func (p *Planner) publish(h Host, urgency int) bool {
 	for _, t := range p.tables {
 		to := p.users(t)
-		if len(to) == 0 || urgency == urgent && p.unsolved || urgency == tidy && !t.due {
+		if len(to) == 0 || urgency > tidy && p.unsolved || urgency == tidy && !t.due {
 			continue
 		}
-		s, hurry := p.change(t, notable)
+		s, need := p.change(t, notable)
 		t.due = t.due && s != nil
-		if s != nil && hurry == (urgency == urgent) && p.pay(1, to, urgency) {
+		if s != nil && need == urgency && p.pay(1, to, urgency) {
 			return p.setLine(h, t, s)
 		}
 	}
