--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,6 +26,7 @@
 	notable      = 0.25   // part of a line's weight; smaller moves are within the noise of sums
 	tiny         = 0.25   // part of an average line; a smaller one costs connections and brings little
 	shift        = 0.3    // part of all demand that moved; old prices and shares are forgotten then
+	hurryMs      = 1500.0 // ms between lines of a table that cannot wait; messages are few where tables run bare
 	thin         = 0.4    // part of a table's weight that is missing when it cannot wait for its turn
 	overshoot    = 0.005  // share of a table that a cold server's line may exceed its cap by; rounding
 	leastLines   = 3      // lines a table keeps; two may be lost at once before the table is bare
@@ -85,7 +86,7 @@
 
 var (
 	queueShare   = [...]float64{tidy: 0.15, urgent: 0.6, ruled: 0.9}  // part of the longest queue
-	messageShare = [...]float64{tidy: 0.5, urgent: 0.67, ruled: 0.92} // part of the messages in a span
+	messageShare = [...]float64{tidy: 0.34, urgent: 0.5, ruled: 0.92} // part of the messages in a span
 )
 
 // sum is what proxies met at a server in one report period, or what came to a proxy.
@@ -138,6 +139,7 @@
 	client      *client
 	want, lines map[*server]float64 // as decided, as sent
 	due         bool                // wants may be sent now
+	hurried     float64             // when lines were last sent that could not wait
 }
 
 // level is the admission of one traffic group.
@@ -194,7 +196,7 @@
 		for g := range set.Groups {
 			c := &client{zone: z, group: g, row: &p.set.Groups[g], cells: map[*server]cell{}}
 			for n := range c.tables {
-				c.tables[n] = &table{number: len(p.tables), client: c, lines: map[*server]float64{}, due: true}
+				c.tables[n] = &table{number: len(p.tables), client: c, lines: map[*server]float64{}, due: true, hurried: math.Inf(-1)}
 				p.tables = append(p.tables, c.tables[n])
 			}
 			p.clients = append(p.clients, c)
@@ -905,7 +907,8 @@
 // withdraw shuts out servers that drain, are gone or were judged bad.
 func (p *Planner) withdraw(h Host) bool {
 	for _, s := range p.servers {
-		if s.usable() || s.out {
+		held := slices.ContainsFunc(p.tables, func(t *table) bool { return t.lines[s] > 0 })
+		if s.usable() || s.out || s.State == Ready && !held {
 			continue
 		}
 		// A drain waits for others to share its message only while messages are short, and never too long.
@@ -1021,7 +1024,11 @@
 		}
 		s, need := p.change(t, notable)
 		t.due = t.due && s != nil
-		if s != nil && need == urgency && p.pay(1, to, urgency) {
+		rested := urgency == tidy || t.hurried == p.now || p.now-t.hurried >= hurryMs
+		if s != nil && need == urgency && rested && p.pay(1, to, urgency) {
+			if urgency > tidy {
+				t.hurried = p.now
+			}
 			return p.setLine(h, t, s)
 		}
 	}
