--- a/brain/brain.go
+++ b/brain/brain.go
@@ -64,20 +64,19 @@
 	jam       = 0.5    // mean latency over latency budget above which a tenth or so is late
 	calm      = 0.35   // and below which levels may rise
 	dropsMost = 0.12   // share of flows dropped that means overload rather than chance
-	easing    = 0.85   // part of the last step's lateness that means that a jam drains
 	levelDown = 0.6    // most that one step may cut the flows let in to; sums may be late
 	drain     = 0.85   // part of the delivered rate let in during a jam, so that it drains
 	levelUp   = 0.3    // part more let in at each step while latency is nil, less the nearer it is to calm
 	levelEach = 0.1    // least level of a traffic group; some of it shows whether the jam is over
 
 	// The channel.
-	slowest    = 6.0    // times slower that the channel is taken to be when receipts are late
+	slowest    = 6.0    // times slower that the channel is taken to be after a late receipt
+	keepTooks  = 8      // receipts kept; about one solve of a copy
 	askAgainMs = 1200.0 // ms; first wait after a failed call for the list, doubled each time
 	wakeMs     = 200.0  // ms between looks when nothing comes in; well under every grace
 )
 
-// Urgency of an order: tidy work leaves room in the channel for what cannot wait, and both for what the
-// rules ask for at once.
+// Urgency of an order: tidy work leaves room for what cannot wait, and both for what the rules ask for.
 const (
 	tidy = iota
 	urgent
@@ -162,16 +161,13 @@
 
 	solvedAt, levelAt, thoughtAt float64
 	solves                       int
-	late                         float64 // latency over budget at the last level step
-	unsolved                     bool    // what servers may be used has changed
+	unsolved                     bool // what servers may be used has changed
 	fleetHeard                   []float64
 
 	// The channel: lines waiting, worked out when orders were last counted.
 	waiting, countedAt float64
-	slow               bool
-	asked, answered    int     // proxies that the receipt under way was asked of, and that answered
-	receipts           int     // number of the last one
-	receiptDue         float64 // when its answers are late
+	tooks              []float64 // ways of the last messages, from order to effect
+	marked             int       // solve that a receipt was last asked for
 
 	following         bool
 	followAt, askWait float64
@@ -196,7 +192,8 @@
 		for g := range set.Groups {
 			c := &client{zone: z, group: g, row: &p.set.Groups[g], cells: map[*server]cell{}}
 			for n := range c.tables {
-				c.tables[n] = &table{number: len(p.tables), client: c, lines: map[*server]float64{}, due: true, hurried: math.Inf(-1)}
+				c.tables[n] = &table{number: len(p.tables), client: c, due: true, hurried: math.Inf(-1),
+					lines: map[*server]float64{}}
 				p.tables = append(p.tables, c.tables[n])
 			}
 			p.clients = append(p.clients, c)
@@ -232,8 +229,8 @@
 			p.byName[e.Server], p.servers = s, append(p.servers, s)
 		}
 		if s.Server == "" || e.BornMs > s.BornMs {
-			// Back cold under its old name: nothing heard of it holds any more, and what old tables sent it
-			// counts against its budget, so that it rests until that is out of the window.
+			// Back cold under its old name: what was heard is void, and what old tables sent it counts
+			// against its budget, so that it rests until that is out of the window.
 			rest := e.BornMs > p.now-p.set.WarmUpMs && s.Server != ""
 			*s = server{out: s.out, since: p.now, tried: math.Inf(-1), bad: rest, badUntil: p.now + 2*p.set.FallMs}
 		}
@@ -271,7 +268,12 @@
 func (p *Planner) Left(id int) {
 	gone := p.byID[id]
 	delete(p.byID, id)
-	p.proxies = slices.DeleteFunc(slices.Clone(p.proxies), func(q *proxy) bool { return q == gone })
+	p.proxies = only(p.proxies, func(q *proxy) bool { return q != gone })
+}
+
+// only is those of a list that fit.
+func only[T any](list []T, fits func(T) bool) []T {
+	return slices.DeleteFunc(slices.Clone(list), func(x T) bool { return !fits(x) })
 }
 
 func keep[T any](list []T, last T, most int) []T {
@@ -290,23 +292,20 @@
 	if n := len(p.fleetHeard); n == 0 || p.now-p.fleetHeard[n-1] > p.set.ReportEveryMs/2 {
 		p.fleetHeard = keep(p.fleetHeard, p.now, keepSamples)
 	}
-	s.sums = keep(s.sums, sum{zone, p.now, float64(count), float64(failed), latency, covers}, keepSamples*p.set.Zones)
+	a := sum{zone, p.now, float64(count), float64(failed), latency, covers}
+	s.sums = keep(s.sums, a, keepSamples*p.set.Zones)
 }
 
 // Usage is what came to a proxy of one traffic group.
 func (p *Planner) Usage(id, group, count, failed int, covers float64) {
 	if q := p.byID[id]; q != nil && group >= 0 && group < len(q.usage) {
-		q.usage[group] = keep(q.usage[group], sum{q.zone, p.now, float64(count), float64(failed), 0, covers}, keepSamples)
+		a := sum{q.zone, p.now, float64(count), float64(failed), 0, covers}
+		q.usage[group] = keep(q.usage[group], a, keepSamples)
 	}
 }
 
-// Applied is the answer to a Receipt.
-func (p *Planner) Applied(id, number int, took float64) {
-	if number == p.receipts && p.answered < p.asked {
-		p.answered++
-		p.slow = p.now > p.receiptDue
-	}
-}
+// Applied is the answer to a Receipt: how long an order took tells how fast the channel drains.
+func (p *Planner) Applied(id, number int, took float64) { p.tooks = keep(p.tooks, took, keepTooks) }
 
 // Next makes at most one decision and says whether it made one.
 func (p *Planner) Next(h Host) bool {
@@ -317,12 +316,10 @@
 		p.levelIfDue()
 		p.solveIfDue()
 	}
-	return p.follow(h) || p.withdraw(h) || p.publish(h, ruled) || p.bind(h) || p.publish(h, urgent) || p.readmit(h) || p.admit(h) ||
-		p.publish(h, tidy) || p.receipt(h) || p.wake(h)
+	return p.follow(h) || p.withdraw(h) || p.publish(h, ruled) || p.bind(h) || p.publish(h, urgent) ||
+		p.readmit(h) || p.admit(h) || p.publish(h, tidy) || p.receipt(h) || p.wake(h)
 }
 
-// ---- the list ----
-
 // follow keeps a subscription where the list comes only to those who ask, and paces repeated calls.
 func (p *Planner) follow(h Host) bool {
 	if !p.set.MustFollow || p.following || p.now < p.followAt {
@@ -347,10 +344,8 @@
 	return part
 }
 
-// ---- what is heard, worked out ----
-
-// periods are the sums of a server after its last verdict, return or start, the zones of one report period
-// added up, since a zone with few flows would hear mostly noise. What came over a shut link tells of the link.
+// periods are the sums of a server since its last verdict, return or start, the zones of a period added up:
+// a zone with few flows hears mostly noise. What came over a shut link tells of the link.
 func (p *Planner) periods(s *server, span float64) []sum {
 	var out []sum
 	for _, a := range s.sums {
@@ -378,8 +373,7 @@
 	return count, failed, latency / math.Max(count-failed, 1)
 }
 
-// floor is the latency that a server shows when it is not jammed, the paper's L: the lower quartile of its
-// last sums, since the lowest of noisy means says little. 0 when unheard.
+// floor is a server's latency when not jammed, 0 when unheard: the lower quartile of noisy means.
 func (p *Planner) floor(s *server) float64 {
 	all := []float64{}
 	for _, a := range p.periods(s, math.Inf(1)) {
@@ -395,9 +389,8 @@
 	return p.now < l.shutAt+l.shutFor
 }
 
-// watch shuts the links on which nearly all fails: a cut between zones, or a zone lost. It says so of
-// the way, not of the servers, so that proxies beyond the cut keep theirs; harmful where one zone has a
-// single server that is only slow, hence the many drops asked for.
+// watch shuts links on which nearly all fails: a cut between zones or a zone lost. The way is blamed, not the
+// servers; harmful where a zone's only server is slow, hence the many drops asked for.
 func (p *Planner) watch() {
 	count, failed := make([]float64, len(p.links)), make([]float64, len(p.links))
 	for _, s := range p.servers {
@@ -419,8 +412,7 @@
 	}
 }
 
-// fleet is how the middle server in use fares: its latency and its share of drops. A few dead or slow
-// servers do not move it, and a cut that hides some of them does not either.
+// fleet is how the middle server in use fares, which a few dead, slow or hidden ones do not move.
 func (p *Planner) fleet(span float64) (latency, drops, delivered float64) {
 	var ls, ds []float64
 	for _, s := range p.servers {
@@ -464,10 +456,8 @@
 	return d * p.levels[c.group].want
 }
 
-// ---- the split ----
-
-// fit is a server's cap in parts of its listed size: its speed, by the floors, and less while it is jammed
-// more than the fleet is. Only the jam reacts fast: a cap that followed every latency would swing.
+// fit is a server's cap in parts of its size: its speed by the floors, at once less while it is jammed more
+// than the fleet. A cap that followed every latency would swing.
 func (p *Planner) fit(s *server, floor, jammed float64) float64 {
 	own := p.floor(s)
 	heard := float64(len(p.periods(s, math.Inf(1))))
@@ -498,13 +488,9 @@
 
 // solveIfDue solves every few seconds, and soon after servers came or went.
 func (p *Planner) solveIfDue() {
-	var js []*server
-	for _, s := range p.servers {
-		if s.usable() {
-			js = append(js, s)
-		}
-	}
-	if due := p.solvedAt + solveEveryMs; len(js) == 0 || p.now < due && !p.unsolved || p.now < p.solvedAt+soonMs {
+	js := only(p.servers, (*server).usable)
+	since := p.now - p.solvedAt
+	if len(js) == 0 || since < soonMs || since < solveEveryMs && !p.unsolved {
 		return // with no server to use, tables keep what they hold
 	}
 	p.split(js, p.unsolved)
@@ -590,8 +576,7 @@
 	}
 }
 
-// caps are the paper's C as parts of all demand: listed size times fit, brought to the demand with some room.
-// Those of cold servers are not scaled up: they would be pushed over.
+// caps are the paper's C in parts of all demand, scaled to it with some room; cold ones are not scaled up.
 func (p *Planner) caps(js []*server, total float64) []float64 {
 	C := make([]float64, len(js))
 	typical, jammed := p.typical(js)
@@ -684,27 +669,13 @@
 	return nu
 }
 
-// ---- health ----
-
 // judge runs the sequential test on each server's sums and calls off verdicts that are served.
 func (p *Planner) judge() {
-	fleet, out := 0.0, 1.0
-	for _, s := range p.servers {
-		if s.State == Ready && s.bad {
-			out++
-		}
-		if s.State == Ready {
-			fleet++
-		}
-	}
+	ready := only(p.servers, func(s *server) bool { return s.State == Ready })
+	fleet, out := float64(len(ready)), float64(1+len(ready)-len(only(ready, (*server).usable)))
 	_, drops, _ := p.fleet(windowMs)
-	unheard := 0
-	for _, q := range p.proxies {
-		if p.now-q.joined < settleMs {
-			unheard++
-		}
-	}
-	rough := drops > jamDrops || unheard > len(p.proxies)/3 // or may be, beyond what is heard
+	unheard := only(p.proxies, func(q *proxy) bool { return p.now-q.joined < settleMs })
+	rough := drops > jamDrops || len(unheard) > len(p.proxies)/3 // or may be, beyond what is heard
 	for _, s := range p.servers {
 		switch {
 		case s.State != Ready:
@@ -725,8 +696,7 @@
 	}
 }
 
-// evidence is a CUSUM of log likelihood ratios: failing against sound, by drops, lateness and silence.
-// The fleet's own share of drops counts as sound, so that an overload condemns nobody.
+// evidence is a CUSUM of log likelihood ratios, dead against sound, by drops and silence.
 func (p *Planner) evidence(s *server, drops float64) float64 {
 	good := math.Min(math.Max(goodShare, 2*drops), goodMost)
 	score := 0.0
@@ -772,10 +742,8 @@
 	return sum / math.Max(n, 0.001)
 }
 
-// ---- levels ----
-
-// levelIfDue moves the share of flows let in: down while answers come late or not at all, up when calm.
-// The traffic groups that earn least for their work, by utility for latency budget, give way first.
+// levelIfDue moves the share of flows let in: down in a jam, up when calm. The traffic groups that earn least
+// for their work, by utility for latency budget, give way first.
 func (p *Planner) levelIfDue() {
 	if !p.set.CanAdmit || p.now-p.levelAt < levelMs {
 		return
@@ -793,11 +761,8 @@
 		return
 	}
 	share := let / all
-	late, before := latency/p.budget(), p.late
-	p.late = late
-	switch {
-	case (late > jam || drops > dropsMost) && late > before*easing:
-		// While lateness falls the last cut is at work: a second before it shows would be too deep.
+	switch late := latency / p.budget(); {
+	case late > jam || drops > dropsMost:
 		// What is delivered now is what the fleet can do; less than that lets the jam drain.
 		share = math.Max(share*levelDown, math.Min(share, good/all*drain))
 	case late < calm && drops < dropsMost/2:
@@ -840,15 +805,10 @@
 	return false
 }
 
-// ---- the channel ----
-
 // queue is how many lines wait, with heads, as the channel would have drained them since.
 func (p *Planner) queue() float64 {
 	rate := p.set.ChannelRate / 1000
-	if p.asked > 0 && p.answered == 0 && p.now > p.receiptDue {
-		p.slow = true // no answer at all; a few silent proxies may have lost their streams
-	}
-	if p.slow {
+	if len(p.tooks) > 0 && slices.Max(p.tooks) > 2*p.set.LongestWayMs {
 		rate /= slowest
 	}
 	p.waiting = math.Max(0, p.waiting-(p.now-p.countedAt)*rate)
@@ -856,7 +816,7 @@
 	return p.waiting
 }
 
-// pay counts an order of so many lines to each of some proxies, if the channel and they have room for it.
+// pay counts an order of so many lines to each of some proxies, if there is room for it.
 func (p *Planner) pay(lines float64, to []*proxy, urgency int) bool {
 	cost := 0.0
 	room, messages := p.set.MostWaiting*queueShare[urgency], float64(p.set.MostMessages)*messageShare[urgency]
@@ -893,17 +853,9 @@
 
 // users are the proxies bound to a table.
 func (p *Planner) users(t *table) []*proxy {
-	var to []*proxy
-	for _, q := range p.proxies {
-		if q.bound[t.client.group] == t {
-			to = append(to, q)
-		}
-	}
-	return to
+	return only(p.proxies, func(q *proxy) bool { return q.bound[t.client.group] == t })
 }
 
-// ---- orders ----
-
 // withdraw shuts out servers that drain, are gone or were judged bad.
 func (p *Planner) withdraw(h Host) bool {
 	for _, s := range p.servers {
@@ -911,9 +863,10 @@
 		if s.usable() || s.out || s.State == Ready && !held {
 			continue
 		}
-		// A drain waits for others to share its message only while messages are short, and never too long.
+		// A drain waits to share its message only while messages are short, and not too long.
 		last := s.told + p.set.GraceMs/2 - p.set.LongestWayMs
-		if p.pay(1, p.proxies, urgent) || (s.State != Ready || p.cold(s)) && p.now >= last && p.pay(1, p.proxies, ruled) {
+		must := (s.State != Ready || p.cold(s)) && p.now >= last
+		if p.pay(1, p.proxies, urgent) || must && p.pay(1, p.proxies, ruled) {
 			s.out = true
 			h.Withdraw(s.Server, true)
 			return true
@@ -933,8 +886,7 @@
 	return true
 }
 
-// change is the next line of a table to send, additions before removals so that no table runs bare. It cannot
-// wait for its copy's turn where the table holds too much of a cold server or has lost much of its weight.
+// change is the next line of a table to send, additions first so that none runs bare, and how urgent it is.
 func (p *Planner) change(t *table, least float64) (next *server, urgency int) {
 	missing, all, live := 0.0, 0.0, 0
 	var drop *server
@@ -1002,11 +954,8 @@
 		if !s.out || !s.usable() || p.unsolved {
 			continue
 		}
-		ready := true
-		for _, t := range p.tables {
-			ready = ready && !t.over(s)
-		}
-		if ready && p.pay(1, p.proxies, urgent) {
+		over := slices.ContainsFunc(p.tables, func(t *table) bool { return t.over(s) })
+		if !over && p.pay(1, p.proxies, urgent) {
 			s.out = false
 			h.Withdraw(s.Server, false)
 			return true
@@ -1037,22 +986,15 @@
 
 // receipt asks how long the messages of this tick take, to learn whether the channel is slow.
 func (p *Planner) receipt(h Host) bool {
-	if p.answered < p.asked && p.now < p.receiptDue {
+	if p.marked == p.solves {
 		return false
 	}
-	var to []*proxy
-	for _, q := range p.proxies {
-		if q.reached(p.now) {
-			to = append(to, q)
-		}
-	}
+	to := only(p.proxies, func(q *proxy) bool { return q.reached(p.now) })
 	if len(to) == 0 || !p.pay(1, to, tidy) {
 		return false
 	}
-	p.receipts = (p.receipts + 1) % 65536
-	p.asked, p.answered = len(to), 0
-	p.receiptDue = p.now + p.waiting/p.set.ChannelRate*1000 + 2*p.set.LongestWayMs
-	h.Receipt(p.receipts)
+	p.marked = p.solves
+	h.Receipt(p.marked % 65536)
 	return true
 }
 
