--- a/brain/brain.go
+++ b/brain/brain.go
@@ -161,6 +161,7 @@
 
 	solvedAt, levelAt, thoughtAt float64
 	solves                       int
+	ramps                        bool // the last solve had servers on their ramp
 	unsolved                     bool // what servers may be used has changed
 	fleetHeard                   []float64
 
@@ -510,8 +511,10 @@
 		total, moved = total+D[i], moved+math.Abs(D[i]-c.demand)/2
 		c.demand = D[i]
 	}
-	// An old price of congestion is forgotten after a shift of demand or servers.
-	changed = changed || moved > shift*total
+	// Old prices and shares are forgotten after a shift of demand or servers, and while caps ramp up.
+	ramps := slices.ContainsFunc(js, func(s *server) bool { return p.ramp(s) < 1 })
+	changed = changed || ramps || p.ramps || moved > shift*total
+	p.ramps = ramps
 	C := p.caps(js, total)
 	unit := math.Max(total, leastDemand) / float64(I)
 	for j := range C {
--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,480 @@
+package brain
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"testing"
+)
+
+// split runs the solver as often as a warm planner would and gives the alphas.
+func split(D, C []float64, cost [][]float64, solves int) [][]cell {
+	x := make([][]cell, len(D))
+	for i := range x {
+		x[i] = make([]cell, len(C))
+		for j := range C {
+			x[i][j] = cell{alpha: 1 / float64(len(C)), beta: 1 / float64(len(C))}
+		}
+	}
+	for n := 0; n < solves; n++ {
+		solve(D, C, cost, x, lambdaMost)
+	}
+	return x
+}
+
+func near(t *testing.T, what string, got, want, by float64) {
+	t.Helper()
+	if math.IsNaN(got) || math.Abs(got-want) > by {
+		t.Errorf("%s: %.4f, worked by hand %.4f", what, got, want)
+	}
+}
+
+func TestSolve(t *testing.T) {
+	inf := math.Inf(1)
+	t.Run("Lemma 3 by hand", func(t *testing.T) {
+		near(t, "mu", waterline([]float64{0.9, 0.5, -0.2}, []float64{1, 1, 1}, 1), 0.2, 1e-12)
+		near(t, "mu below zero", waterline([]float64{0.1, 0.2}, []float64{1, 1}, 1), -0.35, 1e-12)
+	})
+	t.Run("Lemma 1 by hand", func(t *testing.T) {
+		// 1*(0.8-nu) + 2*(0.5-2nu) = 0.8, so nu = 0.2.
+		near(t, "nu", waterline([]float64{0.8, 0.5}, []float64{1, 2}, 0.8), 0.2, 1e-12)
+		// With C 0.2 the second client is at zero: 0.8-nu = 0.2 has nu 0.6 above 0.5/2.
+		near(t, "nu, one client out", waterline([]float64{0.8, 0.5}, []float64{1, 2}, 0.2), 0.6, 1e-12)
+	})
+	t.Run("slack caps: all to the nearest", func(t *testing.T) {
+		x := split([]float64{1}, []float64{5, 5}, [][]float64{{0, 0.1}}, 5)
+		near(t, "alpha to the near server", x[0][0].alpha, 1, 0.01)
+	})
+	t.Run("one binding cap: the rest spills", func(t *testing.T) {
+		x := split([]float64{1, 1}, []float64{0.5, 5}, [][]float64{{0, 0.1}, {inf, 0}}, 20)
+		near(t, "alpha up to the cap", x[0][0].alpha, 0.5, 0.02)
+		near(t, "alpha of a closed server", x[1][0].alpha, 0, 0)
+		near(t, "sum", x[0][0].alpha+x[0][1].alpha, 1, 1e-9)
+	})
+	t.Run("two clients share a cap by what the way costs them", func(t *testing.T) {
+		x := split([]float64{1, 1}, []float64{1, 1}, [][]float64{{0, 0.1}, {0.1, 0}}, 20)
+		near(t, "first stays at home", x[0][0].alpha, 1, 0.02)
+		near(t, "second stays at home", x[1][1].alpha, 1, 0.02)
+	})
+	t.Run("a client with one server, and one without demand", func(t *testing.T) {
+		x := split([]float64{2, leastDemand}, []float64{1, 3}, [][]float64{{inf, 0}, {0, 0}}, 5)
+		near(t, "only server", x[0][1].alpha, 1, 1e-9)
+		near(t, "sum of the idle", x[1][0].alpha+x[1][1].alpha, 1, 1e-9)
+	})
+	t.Run("no servers", func(t *testing.T) { split([]float64{1}, nil, [][]float64{{}}, 1) })
+	t.Run("any fleet size keeps its caps", func(t *testing.T) {
+		for _, n := range []int{4, 20, 100} {
+			D, C, cost := make([]float64, 6), make([]float64, n), make([][]float64, 6)
+			for i := range D {
+				D[i], cost[i] = []float64{0.2, 1.8}[i%2], make([]float64, n)
+				for j := range C {
+					C[j] = 6 * headroom / float64(n)
+					cost[i][j] = (1 + 0.3*float64((i+j)%3)) / float64(n) * step
+				}
+			}
+			x := split(D, C, cost, 3)
+			for j := range C {
+				load := 0.0
+				for i := range D {
+					load += x[i][j].alpha * D[i]
+				}
+				if load > 1.1*C[j] {
+					t.Errorf("%d servers: load %.3f on a cap of %.3f", n, load, C[j])
+				}
+			}
+		}
+	})
+	t.Run("caps below demand are scaled to it, cold ones are not", func(t *testing.T) {
+		f := fleet(settings(), 4)
+		f.p.servers[0].BornMs = f.now
+		C := f.p.caps(f.p.servers, 20)
+		near(t, "sum", C[0]+C[1]+C[2]+C[3], headroom, 0.5)
+		if C[0] > 0.25*0.2 {
+			t.Errorf("a cold server's cap is %.3f of all demand", C[0])
+		}
+	})
+}
+
+func TestTables(t *testing.T) {
+	t.Run("a new proxy is bound at once for every traffic group", func(t *testing.T) {
+		f := fleet(settings(), 6)
+		for q := 0; q < 4; q++ {
+			for g := 0; g < 2; g++ {
+				if s := f.share(q, g, "s0") + f.share(q, g, "s1"); math.IsNaN(s) {
+					t.Errorf("proxy %d has no table for group %d", q, g)
+				}
+			}
+		}
+	})
+	t.Run("nothing to say when nothing moves", func(t *testing.T) {
+		f := fleet(settings(), 6)
+		f.run(20, fine)
+		n := 0
+		f.orders = nil
+		f.run(10, fine)
+		for _, o := range f.orders {
+			if o[0] == 'l' {
+				n++
+			}
+		}
+		if n > 6 {
+			t.Errorf("%d lines sent in a calm", n)
+		}
+	})
+	t.Run("a slow server's share falls, and only one copy changes at a time", func(t *testing.T) {
+		f := fleet(settings(), 6)
+		f.run(15, fine)
+		before := f.share(0, 0, "s0")
+		f.run(15, func(s string) (int, int, float64) {
+			if s == "s0" {
+				return 5, 0, 900
+			}
+			return fine(s)
+		})
+		if after := f.share(0, 0, "s0"); after > 0.6*before {
+			t.Errorf("share %.3f after %.3f", after, before)
+		}
+	})
+	t.Run("spill where a zone is short", func(t *testing.T) {
+		f := start(settings())
+		f.p.Listed(Whole, []Entry{{Server: "s0", Zone: 0, Size: 1}, {Server: "s1", Zone: 1, Size: 1},
+			{Server: "s3", Zone: 1, Size: 1}, {Server: "s5", Zone: 1, Size: 1}})
+		f.p.Joined(0, 0, 30)
+		f.p.Joined(1, 1, 10)
+		f.pull()
+		if s := f.share(0, 0, "s0"); s > 0.7 {
+			t.Errorf("%.2f of the short zone's flows stay there", s)
+		}
+	})
+	t.Run("a traffic group that may not leave its zone does not", func(t *testing.T) {
+		set := settings()
+		set.Groups[0].OnlyZone = true
+		f := fleet(set, 6)
+		if f.share(0, 0, "s1") != 0 || f.share(0, 1, "s0") == 0 {
+			t.Error("the table of a bound group holds another zone")
+		}
+	})
+	t.Run("same inputs, same outputs", func(t *testing.T) {
+		a, b := fleet(settings(), 9), fleet(settings(), 9)
+		for _, f := range []*fake{a, b} {
+			f.run(12, func(s string) (int, int, float64) { return 3, int(s[1]) % 2, 90 + 7*float64(s[1]) })
+		}
+		if !reflect.DeepEqual(a.orders, b.orders) {
+			t.Error("two planners with the same inputs differ")
+		}
+	})
+}
+
+func TestRules(t *testing.T) {
+	t.Run("a drain is withdrawn in the same tick", func(t *testing.T) {
+		f := fleet(settings(), 6)
+		f.run(5, fine)
+		f.p.Listed(Change, []Entry{{Server: "s2", Zone: 0, State: Draining, Size: 1}})
+		f.pull()
+		if !f.out["s2"] {
+			t.Error("a draining server is still sent to")
+		}
+	})
+	t.Run("a server missing from the whole list is gone", func(t *testing.T) {
+		f := fleet(settings(), 6)
+		f.p.Listed(Whole, ready(5))
+		f.pull()
+		if !f.out["s5"] {
+			t.Error("a server that the list dropped is still sent to")
+		}
+	})
+	t.Run("drains keep messages of their own", func(t *testing.T) {
+		set := settings()
+		set.MostMessages = 6
+		f := fleet(set, 8)
+		for f.p.pay(1, f.p.proxies, urgent) {
+			f.now += 100
+			f.p.Tick(f.now)
+		}
+		f.p.Listed(Change, []Entry{{Server: "s2", Zone: 0, State: Draining, Size: 1}})
+		f.run(2, nil)
+		if !f.out["s2"] {
+			t.Error("other orders used up the messages")
+		}
+	})
+	t.Run("no proxy gets more messages than allowed", func(t *testing.T) {
+		set := settings()
+		set.MostMessages = 6
+		f := fleet(set, 8)
+		for i := 0; i < 40; i++ {
+			f.p.Listed(Change, []Entry{{Server: fmt.Sprint("s", i%8), Zone: i % 2, State: State(i / 8 % 2), Size: 1}})
+			f.run(1, fine)
+			for _, q := range f.p.proxies {
+				n := 0
+				for _, at := range q.sent {
+					if at > f.now-set.MessageSpanMs {
+						n++
+					}
+				}
+				if n > set.MostMessages {
+					t.Fatalf("%d messages in a span", n)
+				}
+			}
+		}
+	})
+	t.Run("the queue counts lines and heads and drains slowly after late receipts", func(t *testing.T) {
+		f := fleet(settings(), 6)
+		f.p.waiting = 1000
+		f.now += 100
+		f.p.Tick(f.now)
+		near(t, "healthy", f.p.queue(), 750, 1)
+		f.p.Applied(0, 1, 5000)
+		f.now += 100
+		f.p.Tick(f.now)
+		near(t, "slow", f.p.queue(), 750-250/slowest, 1)
+	})
+	t.Run("a full queue holds tidy lines back but no drain", func(t *testing.T) {
+		f := fleet(settings(), 6)
+		f.p.waiting = 2500
+		if f.p.pay(1, f.p.proxies, tidy) || !f.p.pay(1, f.p.proxies, ruled) {
+			t.Error("urgency does not decide")
+		}
+	})
+	t.Run("cold servers start low, and rest after a restart", func(t *testing.T) {
+		f := fleet(settings(), 6)
+		f.run(12, fine)
+		f.p.Listed(Change, []Entry{{Server: "s0", Zone: 0, Size: 1, BornMs: f.now - 500},
+			{Server: "new", Zone: 0, Size: 1, BornMs: f.now - 500}})
+		f.pull()
+		if f.share(0, 0, "s0") != 0 {
+			t.Error("a restarted server is sent to by old tables")
+		}
+		f.run(8, fine)
+		for _, s := range []string{"s0", "new"} {
+			if w := f.share(0, 0, s); w > 0.1 {
+				t.Errorf("cold %s has %.3f of a proxy's flows", s, w)
+			}
+		}
+		f.run(25, fine)
+		if f.share(0, 0, "s0") < 0.1 {
+			t.Errorf("warm again, it has only %.3f", f.share(0, 0, "s0"))
+		}
+	})
+	t.Run("cold servers rest while the fleet drops and while many proxies are new", func(t *testing.T) {
+		f := fleet(settings(), 8)
+		f.run(10, fine)
+		f.p.Listed(Change, []Entry{{Server: "new", Zone: 0, Size: 1, BornMs: f.now}})
+		f.run(4, func(string) (int, int, float64) { return 10, 6, 300 })
+		if w := f.share(0, 0, "new"); w != 0 {
+			t.Errorf("a cold server has %.3f in a jam", w)
+		}
+	})
+	t.Run("a table that drains bare gets other lines at once", func(t *testing.T) {
+		f := fleet(settings(), 8)
+		f.run(6, fine)
+		for i := 0; i < 8; i += 2 {
+			f.p.Listed(Change, []Entry{{Server: fmt.Sprint("s", i), Zone: 0, State: Gone, Size: 1}})
+		}
+		f.run(1, nil)
+		if f.share(0, 0, "s1")+f.share(0, 0, "s3")+f.share(0, 0, "s5")+f.share(0, 0, "s7") == 0 {
+			t.Error("the proxy has no server left")
+		}
+	})
+	t.Run("with no server to use, tables keep what they hold", func(t *testing.T) {
+		f := fleet(settings(), 4)
+		f.p.Listed(Whole, nil)
+		f.orders = nil
+		f.run(5, nil)
+		for _, o := range f.orders {
+			if o[0] == 'l' {
+				t.Errorf("order %q with no server listed", o)
+			}
+		}
+	})
+	t.Run("no repeat that a rule forbids", func(t *testing.T) {
+		set := settings()
+		set.DefaultRetry = RetryTwice
+		f := fleet(set, 4)
+		if f.retries[1] != RetryProven {
+			t.Errorf("non-retriable flows are repeated in mode %d", f.retries[1])
+		}
+		if _, told := f.retries[0]; told {
+			t.Error("retriable flows need no order")
+		}
+	})
+}
+
+func TestHealth(t *testing.T) {
+	dead := func(s string) (int, int, float64) {
+		if s == "s3" {
+			return 5, 5, 0
+		}
+		return fine(s)
+	}
+	t.Run("dead by drops, out, and carefully back", func(t *testing.T) {
+		f := fleet(settings(), 8)
+		f.run(10, fine)
+		f.run(5, dead)
+		if !f.out["s3"] {
+			t.Fatal("a server that only drops is still sent to")
+		}
+		f.run(4, dead)
+		f.run(12, fine)
+		if f.out["s3"] || f.share(1, 0, "s3") == 0 {
+			t.Error("a server that recovered stays out")
+		}
+	})
+	t.Run("silence where flows were sent is a hang", func(t *testing.T) {
+		f := fleet(settings(), 8)
+		f.run(10, fine)
+		f.run(6, func(s string) (int, int, float64) {
+			if s == "s3" {
+				return 0, 0, 0
+			}
+			return fine(s)
+		})
+		if !f.out["s3"] {
+			t.Error("a server that went silent is still sent to")
+		}
+	})
+	t.Run("a full server that still delivers is not put out", func(t *testing.T) {
+		f := fleet(settings(), 8)
+		f.run(10, fine)
+		f.run(10, func(s string) (int, int, float64) {
+			if s == "s3" {
+				return 10, 6, 300
+			}
+			return fine(s)
+		})
+		if f.out["s3"] {
+			t.Error("a full server was taken for dead")
+		}
+	})
+	t.Run("when most look dead the evidence is doubted", func(t *testing.T) {
+		f := fleet(settings(), 10)
+		f.run(10, fine)
+		f.run(10, func(s string) (int, int, float64) {
+			if s < "s7" {
+				return 5, 5, 0
+			}
+			return fine(s)
+		})
+		n := 0
+		for _, out := range f.out {
+			if out {
+				n++
+			}
+		}
+		if n > 3 {
+			t.Errorf("%d of 10 servers are out", n)
+		}
+	})
+	t.Run("a cut between zones shuts the link and spares the servers", func(t *testing.T) {
+		f := fleet(settings(), 8)
+		f.run(10, fine)
+		for i := 0; i < 4; i++ {
+			for j := 1; j < 8; j += 2 {
+				f.p.Heard(fmt.Sprint("s", j), 0, 2, 2, 0, 1000)
+			}
+			f.run(1, fine)
+		}
+		if !f.p.shut(0, 1) || f.p.shut(1, 0) {
+			t.Error("the cut link is open, or the other is shut")
+		}
+		if f.out["s1"] || f.share(0, 0, "s1") > 0.05 {
+			t.Error("the way was not blamed")
+		}
+	})
+}
+
+func TestLevels(t *testing.T) {
+	jammed := func(string) (int, int, float64) { return 10, 5, 900 }
+	t.Run("in a jam the group that earns least gives way first, and comes back", func(t *testing.T) {
+		f := fleet(settings(), 8)
+		f.run(10, fine)
+		f.run(5, jammed)
+		if f.levels[0] >= 1 || f.levels[0] == 0 {
+			t.Fatalf("level %g in a jam", f.levels[0])
+		}
+		if l, told := f.levels[1]; told && l < f.levels[0] {
+			t.Errorf("the better group was cut to %g, the other to %g", l, f.levels[0])
+		}
+		f.run(40, fine)
+		if f.levels[0] != 1 {
+			t.Errorf("level %g long after the jam", f.levels[0])
+		}
+	})
+	t.Run("one dead server is no jam", func(t *testing.T) {
+		f := fleet(settings(), 8)
+		f.run(10, fine)
+		f.run(10, func(s string) (int, int, float64) {
+			if s == "s3" {
+				return 20, 20, 0
+			}
+			return fine(s)
+		})
+		if len(f.levels) > 0 {
+			t.Errorf("levels %v for one server", f.levels)
+		}
+	})
+}
+
+func TestList(t *testing.T) {
+	t.Run("it is followed from the start, and asked again at a pace", func(t *testing.T) {
+		set := settings()
+		set.MustFollow = true
+		f := fleet(set, 4)
+		for seen := 0; len(f.follows) < 6 && f.now < 1.1e6; f.run(1, nil) {
+			if len(f.follows) > seen { // each call fails once
+				seen = len(f.follows)
+				f.p.Listed(Failed, nil)
+			}
+		}
+		if len(f.follows) < 2 {
+			t.Fatal("a failed call is not repeated")
+		}
+		for i := 1; i < len(f.follows); i++ {
+			if gap := f.follows[i] - f.follows[i-1]; gap < askAgainMs/2 || gap > set.AskWithinMs {
+				t.Errorf("asked again after %.0f ms", gap)
+			}
+		}
+	})
+	t.Run("no more calls once it comes", func(t *testing.T) {
+		set := settings()
+		set.MustFollow = true
+		f := fleet(set, 4)
+		f.p.Listed(Change, nil)
+		f.run(30, fine)
+		if len(f.follows) != 1 {
+			t.Errorf("%d calls", len(f.follows))
+		}
+	})
+	t.Run("a stale restored list is mended by the first news", func(t *testing.T) {
+		f := fleet(settings(), 4)
+		f.p.Listed(Whole, append(ready(3), Entry{Server: "s9", Zone: 1, Size: 1}))
+		f.run(6, fine)
+		if !f.out["s3"] || f.share(1, 0, "s9") == 0 {
+			t.Error("the tables follow the old list")
+		}
+	})
+	t.Run("odd news is harmless", func(t *testing.T) {
+		f := fleet(settings(), 2)
+		f.p.Heard("unknown", 0, 3, 0, 10, 1000)
+		f.p.Heard("s0", 7, 3, 0, 10, 1000)
+		f.p.Usage(99, 0, 1, 0, 1000)
+		f.p.Usage(0, 99, 1, 0, 1000)
+		f.p.Left(99)
+		f.p.Joined(5, 9, 1)
+		f.p.Applied(99, 9, 1)
+		f.p.Listed(Change, []Entry{{Server: "far", Zone: 9, Size: 1}})
+		f.run(2, fine)
+		if f.p.byName["far"] != nil || f.p.byID[5] != nil {
+			t.Error("a zone that does not exist was taken in")
+		}
+	})
+	t.Run("one server, one proxy, all servers replaced", func(t *testing.T) {
+		f := start(settings())
+		f.p.Listed(Restored, ready(1))
+		f.p.Joined(0, 0, 5)
+		f.run(3, fine)
+		near(t, "the only server", f.share(0, 0, "s0"), 1, 0)
+		f.p.Listed(Whole, []Entry{{Server: "n0", Zone: 1, Size: 1, BornMs: f.now}})
+		f.run(20, fine)
+		near(t, "its successor", f.share(0, 0, "n0"), 1, 0)
+	})
+}
--- /dev/null
+++ b/brain/host_test.go
@@ -0,0 +1,135 @@
+package brain
+
+import (
+	"fmt"
+	"math"
+)
+
+// fake is a host that keeps what it is told, as proxies would.
+type fake struct {
+	p       *Planner
+	now     float64
+	lines   map[int]map[string]float64
+	bound   map[string]int // "proxy/group" to table
+	out     map[string]bool
+	levels  map[int]float64
+	retries map[int]int
+	follows []float64
+	orders  []string
+	most    int // decisions in one tick
+}
+
+func settings() Settings {
+	return Settings{Zones: 2, DefaultRetry: RetryProven, CanAdmit: true, AskWithinMs: 10000,
+		Groups: []TrafficGroup{{BudgetMs: 600, Utility: 1, Repeat: Retriable},
+			{BudgetMs: 1000, Utility: 5, Repeat: NonRetriable}},
+		ChannelRate: 2500, HeadLines: 4, MostWaiting: 3500, MostMessages: 20, MessageSpanMs: 10000,
+		LongestWayMs: 1000, ReportEveryMs: 1000, ColdShare: 0.2, WarmUpMs: 16000, FallMs: 3000, GraceMs: 3000}
+}
+
+func start(set Settings) *fake {
+	f := &fake{now: 1e6, lines: map[int]map[string]float64{}, bound: map[string]int{}, out: map[string]bool{},
+		levels: map[int]float64{}, retries: map[int]int{}, p: New(set, 1)}
+	f.p.Tick(f.now)
+	return f
+}
+
+// ready makes n entries over two zones.
+func ready(n int) (list []Entry) {
+	for i := 0; i < n; i++ {
+		list = append(list, Entry{Server: fmt.Sprint("s", i), Zone: i % 2, Size: 1})
+	}
+	return list
+}
+
+// fleet starts a planner with n servers and four proxies, all bound.
+func fleet(set Settings, n int) *fake {
+	f := start(set)
+	f.p.Listed(Restored, ready(n))
+	for i := 0; i < 4; i++ {
+		f.p.Joined(i, i%2, 10)
+	}
+	f.pull()
+	return f
+}
+
+func (f *fake) pull() {
+	n := 0
+	for f.p.Next(f) {
+		n++
+		if n > 100000 {
+			panic("decisions without end")
+		}
+	}
+	f.most = max(f.most, n)
+}
+
+// run lets seconds pass; hear is called for each server and second and gives tries, drops and latency.
+func (f *fake) run(seconds int, hear func(s string) (count, failed int, latency float64)) {
+	for i := 0; i < seconds*5; i++ {
+		f.now += 200
+		f.p.Tick(f.now)
+		for _, s := range f.p.servers {
+			if i%5 == 0 && hear != nil {
+				if n, bad, ms := hear(s.Server); n > 0 {
+					f.p.Heard(s.Server, s.Zone, n, bad, ms, 1000)
+				}
+			}
+		}
+		for q := 0; q < 4 && i%5 == 0; q++ {
+			f.p.Usage(q, 0, 5, 0, 1000)
+			f.p.Usage(q, 1, 5, 0, 1000)
+		}
+		f.pull()
+	}
+}
+
+// fine is what a sound server is heard of.
+func fine(string) (int, int, float64) { return 5, 0, 100 }
+
+// share is the part of a proxy's flows of a group that may go to a server, as it would pick.
+func (f *fake) share(proxy, group int, name string) float64 {
+	t, known := f.bound[fmt.Sprint(proxy, "/", group)]
+	if !known {
+		return math.NaN()
+	}
+	sum := 0.0
+	for s, w := range f.lines[t] {
+		if !f.out[s] {
+			sum += w
+		}
+	}
+	if f.out[name] || sum == 0 {
+		return 0
+	}
+	return f.lines[t][name] / sum
+}
+
+func (f *fake) log(format string, a ...any) { f.orders = append(f.orders, fmt.Sprintf(format, a...)) }
+
+func (f *fake) SetLine(table int, server string, weight float64) {
+	f.log("line %d %s %g", table, server, weight)
+	if f.lines[table] == nil {
+		f.lines[table] = map[string]float64{}
+	}
+	f.lines[table][server] = weight
+}
+
+func (f *fake) Bind(proxy, table, group int) {
+	f.log("bind %d %d %d", proxy, table, group)
+	f.bound[fmt.Sprint(proxy, "/", group)] = table
+}
+
+func (f *fake) Withdraw(server string, out bool) {
+	f.log("withdraw %s %v", server, out)
+	f.out[server] = out
+}
+
+func (f *fake) Admit(table, group int, share float64, retry int) {
+	f.log("admit %d %g %d", group, share, retry)
+	f.levels[group], f.retries[group] = share, retry
+}
+
+func (f *fake) Receipt(number int) { f.log("receipt %d", number) }
+func (f *fake) Follow()            { f.follows = append(f.follows, f.now) }
+func (f *fake) Wake(inMs float64)  { f.log("wake %g", inMs) }
