--- a/brain/brain.go
+++ b/brain/brain.go
@@ -60,14 +60,15 @@
 	cutShare   = 0.9    // share of drops over a cut link; the rest was under way when it was cut
 
 	// Levels.
-	levelMs   = 2000.0 // ms; a level shows in the sums after about this time
-	jam       = 0.5    // mean latency over latency budget above which a tenth or so is late
-	calm      = 0.35   // and below which levels may rise
-	dropsMost = 0.12   // share of flows dropped that means overload rather than chance
-	levelDown = 0.6    // most that one step may cut the flows let in to; sums may be late
-	drain     = 0.85   // part of the delivered rate let in during a jam, so that it drains
-	levelUp   = 0.3    // part more let in at each step while latency is nil, less the nearer it is to calm
-	levelEach = 0.1    // least level of a traffic group; some of it shows whether the jam is over
+	levelMs     = 2000.0 // ms; a level shows in the sums after about this time
+	jam         = 0.5    // mean latency over latency budget above which a tenth or so is late
+	calm        = 0.35   // and below which levels may rise
+	dropsMost   = 0.12   // share of flows dropped that means overload rather than chance
+	levelWaitMs = 1000.0 // ms more after a cut: a second one before it shows would be too deep
+	levelDown   = 0.6    // most that one step may cut the flows let in to; sums may be late
+	drain       = 0.85   // part of the delivered rate let in during a jam, so that it drains
+	levelUp     = 0.3    // part more let in at each step while latency is nil, less the nearer it is to calm
+	levelEach   = 0.1    // least level of a traffic group; some of it shows whether the jam is over
 
 	// The channel.
 	slowest    = 6.0    // times slower that the channel is taken to be after a late receipt
@@ -768,6 +769,7 @@
 	case late > jam || drops > dropsMost:
 		// What is delivered now is what the fleet can do; less than that lets the jam drain.
 		share = math.Max(share*levelDown, math.Min(share, good/all*drain))
+		p.levelAt += levelWaitMs
 	case late < calm && drops < dropsMost/2:
 		share = math.Min(1, share*(1+levelUp*(1-late/calm)))
 	}
