--- a/brain/brain.go
+++ b/brain/brain.go
@@ -50,7 +50,7 @@
 	outMost    = 0.3    // part of the fleet out at once; beyond it the evidence is doubted
 	outMs      = 5000.0 // ms; first stay out, doubled with each verdict: most hangs last 5 to 20 s
 	outLongest = 20000.0
-	restMost   = 0.6    // part of the fleet that may be out when cold ones rest; the others are mostly warm
+	restMost   = 0.8    // part of the fleet that may be out when cold ones rest; the others are mostly warm
 	settleMs   = 5000.0 // ms after which a proxy has been heard and has dropped what it held against servers
 	jamDrops   = 0.3    // share of drops at the middle server in which cold ones rest
 	trialShare = 0.2    // part of its cap that a server is let back with; a second verdict costs little
