--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -255,13 +255,34 @@
 			t.Errorf("warm again, it has only %.3f", f.share(0, 0, "s0"))
 		}
 	})
-	t.Run("cold servers rest while the fleet drops and while many proxies are new", func(t *testing.T) {
-		f := fleet(settings(), 8)
+	for out, name := range map[int]string{0: "a cold server rests in a jam", 6: "though most others are out"} {
+		t.Run(name, func(t *testing.T) {
+			f := fleet(settings(), 10)
+			f.run(10, fine)
+			f.p.Listed(Change, []Entry{{Server: "new", Zone: 0, Size: 1, BornMs: f.now}})
+			f.run(6, fine)
+			if f.share(0, 0, "new") == 0 {
+				t.Fatal("a cold server gets nothing in a calm")
+			}
+			for _, s := range f.p.servers[:out] {
+				s.bad, s.badUntil = true, f.now+9000
+			}
+			f.run(4, func(string) (int, int, float64) { return 10, 6, 300 })
+			if w := f.share(0, 0, "new"); w != 0 {
+				t.Errorf("a cold server has %.3f in a jam", w)
+			}
+		})
+	}
+	t.Run("a cold server rests while many proxies are new", func(t *testing.T) {
+		f := fleet(settings(), 10)
 		f.run(10, fine)
 		f.p.Listed(Change, []Entry{{Server: "new", Zone: 0, Size: 1, BornMs: f.now}})
-		f.run(4, func(string) (int, int, float64) { return 10, 6, 300 })
+		f.run(6, fine)
+		f.p.Joined(2, 0, 10)
+		f.p.Joined(3, 1, 10)
+		f.run(2, fine)
 		if w := f.share(0, 0, "new"); w != 0 {
-			t.Errorf("a cold server has %.3f in a jam", w)
+			t.Errorf("a cold server has %.3f of a proxy that is hardly known", w)
 		}
 	})
 	t.Run("a table that drains bare gets other lines at once", func(t *testing.T) {
