Think once a tick; dead and doubled code out

The planner judged and levelled again at every decision of a tick while a solve was pending; now once a tick.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,7 +17,7 @@
 	solveEveryMs = 2500.0 // ms; half the design's 5 s: two copies then give each proxy news every 5 s
 	soonMs       = 400.0  // ms; least time between solves that the list or health asks for, gathers changes
 	iterations   = 20     // the paper's ADMM-20
-	headroom     = 1.01   // sum of caps over demand; the design's figure
+	headroom     = 1.01   // sum of caps over demand; more idles the dearest servers of a linear cost
 	calmRoom     = 0.4    // more of it while latencies are low; flows then stay in their zone
 	step         = 0.3    // cost of an average line in units of an average share, so that rho 1 converges
 	lambdaMost   = 4.0    // in the same unit; a price beyond it outlives the jam that made it
@@ -311,7 +311,7 @@
 
 // Next makes at most one decision and says whether it made one.
 func (p *Planner) Next(h Host) bool {
-	if p.now-p.thoughtAt >= wakeMs || p.unsolved {
+	if p.now-p.thoughtAt >= wakeMs || p.unsolved && p.now > p.thoughtAt {
 		p.thoughtAt = p.now
 		p.watch()
 		p.judge()
@@ -727,10 +727,10 @@
 
 // expected is the rate of flows that our tables send to a server.
 func (p *Planner) expected(s *server) (rate float64) {
+	if s.out {
+		return 0
+	}
 	for _, t := range p.tables {
-		if s.out {
-			break
-		}
 		rate += t.lines[s] * p.demand(t.client) / copies
 	}
 	return rate
@@ -864,8 +864,8 @@
 // withdraw shuts out servers that drain, are gone or were judged bad.
 func (p *Planner) withdraw(h Host) bool {
 	for _, s := range p.servers {
-		held := slices.ContainsFunc(p.tables, func(t *table) bool { return t.lines[s] > 0 })
-		if s.usable() || s.out || s.State == Ready && !held {
+		holds := func(t *table) bool { return t.lines[s] > 0 }
+		if s.usable() || s.out || s.State == Ready && !slices.ContainsFunc(p.tables, holds) {
 			continue
 		}
 		// A drain waits to share its message only while messages are short, and not too long.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -125,12 +125,7 @@
 		f := fleet(settings(), 6)
 		f.run(15, fine)
 		before := f.share(0, 0, "s0")
-		f.run(15, func(s string) (int, int, float64) {
-			if s == "s0" {
-				return 5, 0, 900
-			}
-			return fine(s)
-		})
+		f.run(15, but("s0", 5, 0, 900))
 		if after := f.share(0, 0, "s0"); after > 0.6*before {
 			t.Errorf("share %.3f after %.3f", after, before)
 		}
@@ -321,12 +316,7 @@
 }
 
 func TestHealth(t *testing.T) {
-	dead := func(s string) (int, int, float64) {
-		if s == "s3" {
-			return 5, 5, 0
-		}
-		return fine(s)
-	}
+	dead := but("s3", 5, 5, 0)
 	t.Run("dead by drops, out, and carefully back", func(t *testing.T) {
 		f := fleet(settings(), 8)
 		f.run(10, fine)
@@ -343,12 +333,7 @@
 	t.Run("silence where flows were sent is a hang", func(t *testing.T) {
 		f := fleet(settings(), 8)
 		f.run(10, fine)
-		f.run(6, func(s string) (int, int, float64) {
-			if s == "s3" {
-				return 0, 0, 0
-			}
-			return fine(s)
-		})
+		f.run(6, but("s3", 0, 0, 0))
 		if !f.out["s3"] {
 			t.Error("a server that went silent is still sent to")
 		}
@@ -356,12 +341,7 @@
 	t.Run("a full server that still delivers is not put out", func(t *testing.T) {
 		f := fleet(settings(), 8)
 		f.run(10, fine)
-		f.run(10, func(s string) (int, int, float64) {
-			if s == "s3" {
-				return 10, 6, 300
-			}
-			return fine(s)
-		})
+		f.run(10, but("s3", 10, 6, 300))
 		if f.out["s3"] {
 			t.Error("a full server was taken for dead")
 		}
@@ -423,12 +403,7 @@
 	t.Run("one dead server is no jam", func(t *testing.T) {
 		f := fleet(settings(), 8)
 		f.run(10, fine)
-		f.run(10, func(s string) (int, int, float64) {
-			if s == "s3" {
-				return 20, 20, 0
-			}
-			return fine(s)
-		})
+		f.run(10, but("s3", 20, 20, 0))
 		if len(f.levels) > 0 {
 			t.Errorf("levels %v for one server", f.levels)
 		}
--- a/brain/host_test.go
+++ b/brain/host_test.go
@@ -87,6 +87,16 @@
 // fine is what a sound server is heard of.
 func fine(string) (int, int, float64) { return 5, 0, 100 }
 
+// but is a fleet of sound servers with one that is heard of differently.
+func but(name string, count, failed int, latency float64) func(string) (int, int, float64) {
+	return func(s string) (int, int, float64) {
+		if s == name {
+			return count, failed, latency
+		}
+		return fine(s)
+	}
+}
+
 // share is the part of a proxy's flows of a group that may go to a server, as it would pick.
 func (f *fake) share(proxy, group int, name string) float64 {
 	t, known := f.bound[fmt.Sprint(proxy, "/", group)]
--- a/internal/wire/events.go
+++ b/internal/wire/events.go
@@ -143,8 +143,8 @@
 		MustFollow: i.Discovery == "subscribe", AskWithinMs: i.Rules.AskWithinMs,
 		Sliced: f.Slices > 0, ChannelRate: f.ChannelRate, HeadLines: f.PerMessage, MostWaiting: f.MostWaiting,
 		MostMessages: f.PushesAllowed, MessageSpanMs: f.ReloadSpanMs, LongestWayMs: f.TransitMaxMs,
-		ReportEveryMs: f.ReportEveryMs, ColdShare: i.Rules.ColdShare, WarmUpMs: i.Rules.WarmUpMs, FallMs: i.Rules.FallMs, GraceMs: i.Rules.StopSendingWithinMs,
-		CrossPrice: i.Prices.CrossZone,
+		ReportEveryMs: f.ReportEveryMs, ColdShare: i.Rules.ColdShare, WarmUpMs: i.Rules.WarmUpMs,
+		FallMs: i.Rules.FallMs, GraceMs: i.Rules.StopSendingWithinMs, CrossPrice: i.Prices.CrossZone,
 	}
 	for k, c := range i.Classes {
 		set.Groups = append(set.Groups, brain.TrafficGroup{BudgetMs: c.AimMs, Utility: c.Worth,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -36,7 +37,7 @@
 	w := bufio.NewWriterSize(out, 1<<16)
 	for {
 		line, err := r.ReadBytes('\n')
-		if len(line) > 0 && len(trim(line)) > 0 {
+		if len(bytes.TrimSpace(line)) > 0 {
 			if e := s.batch(line); e != nil {
 				return e
 			}
@@ -56,13 +57,6 @@
 	}
 }
 
-func trim(b []byte) []byte {
-	for len(b) > 0 && (b[len(b)-1] == '\n' || b[len(b)-1] == '\r' || b[len(b)-1] == ' ') {
-		b = b[:len(b)-1]
-	}
-	return b
-}
-
 func (s *server) batch(line []byte) error {
 	s.out.buf = s.out.buf[:0]
 	var b struct {
@@ -156,10 +150,7 @@
 }
 
 // writer builds the actions of one reply.
-type writer struct {
-	buf   []byte
-	first bool
-}
+type writer struct{ buf []byte }
 
 func (w *writer) start(name, who string) *writer {
 	if len(w.buf) > 0 {
