--- a/brain/brain.go
+++ b/brain/brain.go
@@ -6,73 +6,64 @@
 package brain
 
 import (
+	"cmp"
 	"math"
 	"math/rand"
 	"slices"
-	"sort"
 )
 
 const (
-	// The split.
 	solveEveryMs = 2500.0 // ms; half the design's 5 s: two copies then give each proxy news every 5 s
-	soonMs       = 400.0  // ms; least time between solves that the list or health asks for, gathers changes
 	iterations   = 20     // the paper's ADMM-20
 	headroom     = 1.01   // sum of caps over demand; more idles the dearest servers of a linear cost
 	calmRoom     = 0.4    // more of it while latencies are low; flows then stay in their zone
 	step         = 0.3    // cost of an average line in units of an average share, so that rho 1 converges
 	lambdaMost   = 4.0    // in the same unit; a price beyond it outlives the jam that made it
 	leastDemand  = 0.02   // share of a client's fair part; an idle client still needs a sound table
-	copies       = 2      // staged copies of a client's table; half the proxies try a split first
-	notable      = 0.25   // part of a line's weight; smaller moves are within the noise of sums
-	tiny         = 0.25   // part of an average line; a smaller one costs connections and brings little
 	shift        = 0.3    // part of all demand that moved; old prices and shares are forgotten then
-	hurryMs      = 1500.0 // ms between lines of a table that cannot wait; messages are few where tables run bare
-	thin         = 0.4    // part of a table's weight that is missing when it cannot wait for its turn
-	overshoot    = 0.005  // share of a table that a cold server's line may exceed its cap by; rounding
-	leastLines   = 3      // lines a table keeps; two may be lost at once before the table is bare
 
-	// What is heard.
+	copies     = 2      // staged copies of a client's table, at least; half the proxies try a split first
+	refreshMs  = 1000.0 // ms of the channel that all lines of all proxies may take; a rush of joins fits then
+	connShare  = 0.4    // part of the connections that the smallest server accepts; full ones work slower
+	keptOpen   = 3.0    // flows on a line before its connection idles out; fewer open it ever anew
+	shortest   = 8      // lines; a table keeps most of its servers when a fifth fails
+	leastLines = 3      // lines of a client that are kept; two may be lost at once before a table is bare
+	notable    = 0.25   // part of a line's weight that it moves by, or of an average line; less is noise
+	hurryMs    = 1500.0 // ms between lines of a table that cannot wait; messages are few where tables run bare
+	thin       = 0.4    // part of a table's weight that is missing when it cannot wait for its turn
+	overshoot  = 0.005  // share of a table that a cold server's line may exceed its cap by; rounding
+
 	keepSamples = 24     // sums kept of each server and proxy; a floor is sought in all of them
 	windowMs    = 3500.0 // ms; three sums or more; longer ones show a trouble too late
-	capLeast    = 0.08   // part of a nominal cap; less would leave a slow server unheard
+	roundsBack  = 1.5    // rounds of sums looked back for at least; each server is in one of them
+	capLeast    = 0.08   // part of a nominal cap; less would leave one unheard: slow, or new and maybe not ours
 	sureAfter   = 3      // sums after which a floor counts half; fewer are chance
 	jamSlack    = 1.5    // times the fleet's ratio of latency to floor that is no jam; sums are noisy
 	doubleMs    = 5000.0 // ms; the design's doubling time of a new server's cap
 	shyness     = 0.5    // part of the cold share that a start begins with; the pick of two may double it
 
-	// Health.
-	patienceMs = 6000.0 // ms that a server may take to be heard first; cold ones are slow to answer
-	verdict    = 6.0    // nats; a dozen drops with nothing delivered, a false alarm in some 400 sums
-	sumMost    = 4.0    // nats that a single sum may add; one odd report is never enough
-	badShare   = 0.99   // share of drops of a dead server; one that delivers at all is full or slow, not dead
-	goodShare  = 0.6    // least share of drops that a full server may have; its cap shrinks, it is not put out
-	goodMost   = 0.95   // and the most, where the middle server drops half; an overload condemns nobody
-	outMost    = 0.3    // part of the fleet out at once; beyond it the evidence is doubted
-	outMs      = 5000.0 // ms; first stay out, doubled with each verdict: most hangs last 5 to 20 s
-	outLongest = 20000.0
-	restMost   = 0.8    // part of the fleet that may be out when cold ones rest; the others are mostly warm
-	settleMs   = 5000.0 // ms after which a proxy has been heard and has dropped what it held against servers
-	jamDrops   = 0.3    // share of drops at the middle server in which cold ones rest
-	trialShare = 0.2    // part of its cap that a server is let back with; a second verdict costs little
-	trialMs    = 1500.0 // ms in which that part doubles; full again in some three report periods
-	cutMs      = 3000.0 // ms looked back for a cut between zones; two or three report periods
-	cutDrops   = 6.0    // drops that a cut needs at least; tables send little across zones
-	cutShare   = 0.9    // share of drops over a cut link; the rest was under way when it was cut
-
-	// Levels.
-	levelMs     = 2000.0 // ms; a level shows in the sums after about this time
-	jam         = 0.5    // mean latency over latency budget above which a tenth or so is late
-	calm        = 0.35   // and below which levels may rise
-	dropsMost   = 0.12   // share of flows dropped that means overload rather than chance
-	levelWaitMs = 1000.0 // ms more after a cut: a second one before it shows would be too deep
-	levelDown   = 0.6    // most that one step may cut the flows let in to; sums may be late
-	drain       = 0.85   // part of the delivered rate let in during a jam, so that it drains
-	levelUp     = 0.3    // part more let in at each step while latency is nil, less the nearer it is to calm
-	levelEach   = 0.1    // least level of a traffic group; some of it shows whether the jam is over
-
-	// The channel.
-	slowest    = 6.0    // times slower that the channel is taken to be after a late receipt
-	keepTooks  = 8      // receipts kept; about one solve of a copy
+	verdict    = 6.0     // nats; a dozen drops with nothing delivered, a false alarm in some 400 sums
+	sumMost    = 4.0     // nats that a single sum may add; one odd report is never enough
+	badShare   = 0.99    // share of drops of a dead server; one that delivers at all is full or slow, not dead
+	goodShare  = 0.6     // least share of drops that a full server may have; its cap shrinks, it is not put out
+	goodMost   = 0.95    // and the most, where the middle server drops half; an overload condemns nobody
+	outMost    = 0.3     // part of the fleet out at once, or of flows dropped; beyond it the evidence is doubted
+	outMs      = 5000.0  // ms; first stay out, doubled with each verdict, and time until one new can be judged
+	outLongest = 20000.0 // ms; the longest, as the longest hangs
+	restMost   = 0.8     // part of the fleet that may be out when cold ones rest; the others are mostly warm
+	trialShare = 0.2     // part of its cap that a server is let back with; a second verdict costs little
+	trialMs    = 1500.0  // ms in which that part doubles; full again in some three report periods
+
+	levelMs   = 2000.0 // ms; a level shows in the sums after about this time
+	jam       = 0.5    // latency over latency budget above which a tenth or so is late
+	calm      = 0.35   // and below which drops are no jam; of the wait above floors, when levels may rise
+	dropsMost = 0.12   // share of flows dropped that means overload rather than chance
+	levelDown = 0.6    // most that one step may cut the flows let in to; sums may be late
+	drain     = 0.85   // part of the delivered rate let in during a jam, so that it drains
+	levelUp   = 0.3    // part more let in at each step while latency is nil, less the nearer it is to calm
+	levelEach = 0.1    // least level of a traffic group; some of it shows whether the jam is over
+
+	slowest    = 6.0    // times slower that the channel may be at the worst, until a receipt shows otherwise
 	askAgainMs = 1200.0 // ms; first wait after a failed call for the list, doubled each time
 	wakeMs     = 200.0  // ms between looks when nothing comes in; well under every grace
 )
@@ -87,129 +78,138 @@
 var (
 	queueShare   = [...]float64{tidy: 0.15, urgent: 0.6, ruled: 0.9}  // part of the longest queue
 	messageShare = [...]float64{tidy: 0.34, urgent: 0.5, ruled: 0.92} // part of the messages in a span
+	never        = math.Inf(-1)
 )
 
 // sum is what proxies met at a server in one report period, or what came to a proxy.
 type sum struct {
-	zone                               int
-	at, count, failed, latency, covers float64
+	zone                              int
+	at, good, failed, latency, covers float64
 }
 
-// link is the way from the proxies of one zone to the servers of another.
-type link struct{ shutAt, shutFor float64 }
-
 type server struct {
 	Entry
-	sums     []sum   // the last ones, oldest first
-	out, bad bool    // withdrawn at the proxies; judged unfit
-	since    float64 // last verdict, return or start: evidence before it is void
-	badUntil float64
-	verdicts int
-	told     float64 // when its state in the list changed
-	tried    float64 // when it was let back after a verdict
+	sums            []sum   // the last ones, oldest first
+	rows            []*row  // its lines in our tables
+	out, bad        bool    // withdrawn at the proxies; judged unfit
+	proven, late    bool    // has delivered; not in the list that the planner started with
+	since, badUntil float64 // last verdict, return or start: evidence before it is void; end of a verdict
+	told, tried     float64 // when its state in the list changed; when it was let back after a verdict
+	raised          float64 // when a table that did not hold it was sent it
+	verdicts        int
+	heard           []sum   // as of this look: its sums since the last verdict, by report period
+	good, failed    float64 // of these, in the window
+	latency, own    float64 // in the window; when not jammed, 0 when unheard
 }
 
 type proxy struct {
 	id, zone, copy int
 	usual, joined  float64   // flows per second by its own word; when its stream came up
 	usage          [][]sum   // by traffic group
-	bound          []*table  // by traffic group
+	bound          []*table  // by part
 	sent           []float64 // times of the last messages
 }
 
-// client is the paper's i: the proxies of one zone, for one traffic group.
+// client is the paper's i: the proxies of one zone, for the traffic groups that may go to the same servers.
 type client struct {
-	zone, group int
-	row         *TrafficGroup
-	cells       map[*server]cell
-	demand      float64 // at the last solve
-	tables      [copies]*table
+	zone   int
+	groups []int
+	cells  map[*server]cell
+	demand float64 // the paper's D, flows per second let in, at the last solve
+	tables []*table
 }
 
-// cell holds the paper's variables for a client and a server.
 type cell struct{ alpha, beta, lambda float64 }
 
+// line is a server's share of a client's flows, and its rows in the copies that hold it.
 type line struct {
 	server *server
 	share  float64
+	rows   []*row
+	rank   int // in the order in which a copy takes lines
 }
 
+// table is one copy of a client's table. In a fleet larger than a table, copies hold different servers.
 type table struct {
-	number      int
-	client      *client
-	want, lines map[*server]float64 // as decided, as sent
-	due         bool                // wants may be sent now
-	hurried     float64             // when lines were last sent that could not wait
+	number        int
+	rows          []*row
+	users         []*proxy // bound to it
+	rate, hurried float64  // flows per second of its proxies; when lines that could not wait were last sent
+	due           bool     // wants may be sent now
+}
+
+// row is a server's line in a table: its weight as decided, and as sent.
+type row struct {
+	server     *server
+	table      *table
+	want, sent float64
 }
 
-// level is the admission of one traffic group.
-type level struct{ want, sent float64 }
+// level is the admission of one traffic group, and the flows per second that come, blocked or not.
+type level struct{ want, sent, came float64 }
 
 // Planner decides for the proxies joined to it. It shares nothing with other planners.
 type Planner struct {
-	set    Settings
-	chance *rand.Rand
-	now    float64
-
-	links   []link // from zone times zones plus to zone
+	set     Settings
+	chance  *rand.Rand
+	now     float64
 	servers []*server
 	byName  map[string]*server
 	proxies []*proxy // joined, in order of joining
 	byID    map[int]*proxy
-	clients []*client
+	parts   int       // clients of a zone
+	clients []*client // by zone
 	tables  []*table
 	levels  []level
+	order   []int             // of traffic groups: those that earn least for their work first
+	todo    []func(Host) bool // decisions of this look that are left
 
-	solvedAt, levelAt, thoughtAt float64
-	solves                       int
-	ramps                        bool // the last solve had servers on their ramp
-	unsolved                     bool // what servers may be used has changed
-	fleetHeard                   []float64
+	solvedAt, levelAt, lookedAt, heardAt float64
+	solves                               int
+	ramps, unsolved                      bool // the last solve had servers on their ramp; usable servers changed
+	empty, stirred, known                bool // a proxy joins an unused table; news; some server has delivered
 
-	// The channel: lines waiting, worked out when orders were last counted.
-	waiting, countedAt float64
-	tooks              []float64 // ways of the last messages, from order to effect
-	marked             int       // solve that a receipt was last asked for
+	// As of this look: ms that sums come apart, and that they are looked back for; how the middle server in use
+	// fares, which a few odd ones do not move; mean latency budget; flows per second let in, delivered now, and
+	// delivered in the last jam. Then the channel: lines waiting, likely and at most; all, now and a tick ago.
+	round, window, latency, drops, floor, jammed, budget, let, delivered, able float64
+	waiting, unsure, ordered, before, countedAt, followAt, askWait, wakeAt     float64
 
-	following         bool
-	followAt, askWait float64
-	wakeAt            float64
+	covers          []float64       // of the last sums
+	marks           map[int]float64 // receipts asked for: all ordered before their tick
+	marked, number  int             // solve that a receipt was last asked for; its number
+	following, slow bool            // the list; the last receipt was late
 }
 
-// New starts a planner that knows its settings and nothing else.
 func New(set Settings, seed int64) *Planner {
 	p := &Planner{set: set, chance: rand.New(rand.NewSource(seed)), byName: map[string]*server{},
-		byID: map[int]*proxy{}, askWait: askAgainMs, unsolved: true,
-		solvedAt: math.Inf(-1), levelAt: math.Inf(-1), thoughtAt: math.Inf(-1), wakeAt: math.Inf(-1)}
-	for g := range set.Groups {
-		p.levels = append(p.levels, level{1, 1})
+		marks: map[int]float64{}, byID: map[int]*proxy{}, askWait: askAgainMs, unsolved: true,
+		solvedAt: never, levelAt: never, lookedAt: never, wakeAt: never, heardAt: never}
+	var parts [2][]int // traffic groups that may go to the same servers
+	for g, row := range set.Groups {
+		p.levels = append(p.levels, level{want: 1, sent: 1})
 		if p.retry(g) != set.DefaultRetry {
 			p.levels[g].sent = -1 // proxies must be told that they may not repeat
 		}
+		k := map[bool]int{true: 1}[row.OnlyZone]
+		parts[k], p.order = append(parts[k], g), append(p.order, g)
 	}
-	for n := 0; n < set.Zones*set.Zones; n++ {
-		p.links = append(p.links, link{shutAt: math.Inf(-1)})
-	}
-	for z := 0; z < set.Zones; z++ {
-		for g := range set.Groups {
-			c := &client{zone: z, group: g, row: &p.set.Groups[g], cells: map[*server]cell{}}
-			for n := range c.tables {
-				c.tables[n] = &table{number: len(p.tables), client: c, due: true, hurried: math.Inf(-1),
-					lines: map[*server]float64{}}
-				p.tables = append(p.tables, c.tables[n])
-			}
-			p.clients = append(p.clients, c)
+	slices.SortStableFunc(p.order, func(a, b int) int {
+		g, h := set.Groups[a], set.Groups[b]
+		return cmp.Compare(g.Utility*h.BudgetMs, h.Utility*g.BudgetMs)
+	})
+	for z := range set.Zones {
+		for _, groups := range only(parts[:], func(groups []int) bool { return len(groups) > 0 }) {
+			p.clients = append(p.clients, &client{zone: z, groups: groups})
 		}
 	}
+	p.parts = len(p.clients) / max(set.Zones, 1)
 	return p
 }
 
 // Tick tells the time. All that follows until the next Tick leaves in one message a proxy.
-func (p *Planner) Tick(now float64) {
-	p.now = now
-}
+func (p *Planner) Tick(now float64) { p.now, p.before = now, p.ordered }
 
-// Listed updates the list.
 func (p *Planner) Listed(form ListForm, list []Entry) {
 	if form == Failed {
 		p.following, p.followAt = false, p.now+p.askWait*(0.5+p.chance.Float64())
@@ -219,7 +219,7 @@
 	if form != Restored {
 		p.askWait, p.following = askAgainMs, true
 	}
-	p.unsolved = true
+	p.unsolved, p.stirred = true, true
 	seen := map[*server]bool{}
 	for _, e := range list {
 		if e.Zone < 0 || e.Zone >= p.set.Zones {
@@ -227,14 +227,13 @@
 		}
 		s := p.byName[e.Server]
 		if s == nil {
-			s = &server{}
+			s = &server{late: form != Restored && p.solves > 0, since: p.now, tried: never, raised: never}
 			p.byName[e.Server], p.servers = s, append(p.servers, s)
-		}
-		if s.Server == "" || e.BornMs > s.BornMs {
+		} else if e.BornMs > s.BornMs {
 			// Back cold under its old name: what was heard is void, and what old tables sent it counts
 			// against its budget, so that it rests until that is out of the window.
-			rest := e.BornMs > p.now-p.set.WarmUpMs && s.Server != ""
-			*s = server{out: s.out, since: p.now, tried: math.Inf(-1), bad: rest, badUntil: p.now + 2*p.set.FallMs}
+			s.sums, s.since, s.tried, s.verdicts = nil, p.now, never, 0
+			s.bad, s.badUntil = e.BornMs > p.now-p.set.WarmUpMs, p.now+2*p.set.FallMs
 		}
 		if e.State != s.State {
 			s.told = p.now
@@ -255,34 +254,30 @@
 	if zone < 0 || zone >= p.set.Zones {
 		return
 	}
-	q := &proxy{id: id, zone: zone, usual: usual, joined: p.now, usage: make([][]sum, len(p.set.Groups)),
-		bound: make([]*table, len(p.set.Groups))}
-	for _, o := range p.proxies {
-		if o.zone == zone {
-			q.copy = (q.copy + 1) % copies
-		}
-	}
-	p.byID[id] = q
-	p.proxies = append(p.proxies, q)
+	q := &proxy{id: id, zone: zone, copy: -1, usual: usual, joined: p.now,
+		usage: make([][]sum, len(p.levels)), bound: make([]*table, p.parts)}
+	p.byID[id], p.proxies, p.stirred = q, append(p.proxies, q), true
 }
 
-// Left is the end of a proxy's stream.
 func (p *Planner) Left(id int) {
 	gone := p.byID[id]
 	delete(p.byID, id)
 	p.proxies = only(p.proxies, func(q *proxy) bool { return q != gone })
 }
 
-// only is those of a list that fit.
 func only[T any](list []T, fits func(T) bool) []T {
 	return slices.DeleteFunc(slices.Clone(list), func(x T) bool { return !fits(x) })
 }
 
-func keep[T any](list []T, last T, most int) []T {
-	if len(list) >= most {
-		list = append(list[:0:0], list[1:]...)
+func total[T any](list []T, of func(T) float64) (sum float64) {
+	for _, x := range list {
+		sum += of(x)
 	}
-	return append(list, last)
+	return sum
+}
+
+func keep[T any](list []T, last T, most int) []T {
+	return append(slices.Clone(list[max(0, len(list)-most+1):]), last)
 }
 
 // Heard is what the proxies of a zone met at a server.
@@ -291,271 +286,271 @@
 	if s == nil || count <= 0 || zone < 0 || zone >= p.set.Zones {
 		return
 	}
-	if n := len(p.fleetHeard); n == 0 || p.now-p.fleetHeard[n-1] > p.set.ReportEveryMs/2 {
-		p.fleetHeard = keep(p.fleetHeard, p.now, keepSamples)
-	}
-	a := sum{zone, p.now, float64(count), float64(failed), latency, covers}
-	s.sums = keep(s.sums, a, keepSamples*p.set.Zones)
+	p.heardAt, s.proven = p.now, s.proven || failed < count
+	p.known, p.covers = p.known || s.proven, keep(p.covers, covers, keepSamples)
+	a := sum{zone, p.now, float64(count - failed), float64(failed), latency, covers}
+	s.sums = keep(s.sums, a, keepSamples*min(p.set.Zones, 2))
 }
 
-// Usage is what came to a proxy of one traffic group.
 func (p *Planner) Usage(id, group, count, failed int, covers float64) {
 	if q := p.byID[id]; q != nil && group >= 0 && group < len(q.usage) {
-		a := sum{q.zone, p.now, float64(count), float64(failed), 0, covers}
+		a := sum{q.zone, p.now, float64(count - failed), float64(failed), 0, covers}
 		q.usage[group] = keep(q.usage[group], a, keepSamples)
 	}
 }
 
-// Applied is the answer to a Receipt: how long an order took tells how fast the channel drains.
-func (p *Planner) Applied(id, number int, took float64) { p.tooks = keep(p.tooks, took, keepTooks) }
+// Applied answers a Receipt: what was ordered before it waits no more; late, it shows a slow channel.
+func (p *Planner) Applied(id, number int, took float64) {
+	p.slow = took > 2*p.set.LongestWayMs
+	if before, asked := p.marks[number]; asked {
+		p.unsure = math.Min(p.unsure, p.ordered-before)
+		p.waiting = math.Min(p.waiting, p.unsure)
+		delete(p.marks, number)
+	}
+}
 
-// Next makes at most one decision and says whether it made one.
+// Next makes at most one decision and says whether it made one. Every so often, or when news cannot wait, it
+// lists what is to do; so the orders of a look share a message a proxy.
 func (p *Planner) Next(h Host) bool {
-	if p.now-p.thoughtAt >= wakeMs || p.unsolved && p.now > p.thoughtAt {
-		p.thoughtAt = p.now
-		p.watch()
+	if p.now-p.lookedAt >= wakeMs || p.stirred {
+		p.lookedAt, p.stirred = p.now, false
+		p.look()
 		p.judge()
 		p.levelIfDue()
 		p.solveIfDue()
+		p.plan()
 	}
-	return p.follow(h) || p.withdraw(h) || p.publish(h, ruled) || p.bind(h) || p.publish(h, urgent) ||
-		p.readmit(h) || p.admit(h) || p.publish(h, tidy) || p.receipt(h) || p.wake(h)
-}
-
-// follow keeps a subscription where the list comes only to those who ask, and paces repeated calls.
-func (p *Planner) follow(h Host) bool {
-	if !p.set.MustFollow || p.following || p.now < p.followAt {
+	for len(p.todo) > 0 {
+		act := p.todo[0]
+		if p.todo = p.todo[1:]; act(h) {
+			return true
+		}
+	}
+	if p.now < p.wakeAt {
 		return false
 	}
-	p.followAt = p.now + math.Max(p.askWait, p.set.AskWithinMs/3)
-	h.Follow()
+	p.wakeAt = p.now + wakeMs
+	h.Wake(wakeMs)
 	return true
 }
 
-// usable servers are listed ready and not judged bad.
-func (s *server) usable() bool { return s.State == Ready && !s.bad }
-
-func (p *Planner) cold(s *server) bool { return s.BornMs > 0 && p.now-s.BornMs < p.set.WarmUpMs }
-
-// ramp is the part of its cap that a server may be given: a cold one starts low and doubles.
-func (p *Planner) ramp(s *server) float64 {
-	part := math.Min(1, trialShare*math.Exp2((p.now-s.tried)/trialMs))
-	if p.cold(s) {
-		part = math.Min(part, shyness*p.set.ColdShare*math.Exp2(math.Max(p.now-s.BornMs, 0)/doubleMs))
+// look works out the figures that a look needs of servers, proxies and tables.
+func (p *Planner) look() {
+	// A round of sums takes longer where there are more of them than the intake lets through.
+	p.round = math.Max(p.set.ReportEveryMs, quantile(p.covers, 2, func(x float64) float64 { return x }))
+	p.window = math.Max(windowMs, roundsBack*p.round)
+	p.delivered, p.let, p.budget = 0, 0, 0
+	live := func(r *row) bool { return r.want > 0 || r.sent > 0 }
+	for _, s := range p.servers {
+		s.rows = only(s.rows, live)
+		p.hear(s)
+		p.delivered += s.good / p.window * 1000
+	}
+	used := only(p.servers, func(s *server) bool { return s.usable() && s.good+s.failed > 0 })
+	p.drops = quantile(used, 2, func(s *server) float64 { return s.failed / (s.good + s.failed) })
+	used = only(used, func(s *server) bool { return s.own > 0 && s.latency > 0 })
+	p.latency = quantile(used, 2, func(s *server) float64 { return s.latency })
+	p.floor = quantile(used, 2, func(s *server) float64 { return s.own })
+	p.jammed = quantile(used, 2, func(s *server) float64 { return s.latency / s.own })
+	for _, t := range p.tables {
+		t.rows, t.users, t.rate = only(t.rows, live), nil, 0
 	}
-	return part
+	for g := range p.levels {
+		p.levels[g].came = 0
+	}
+	for _, q := range p.proxies {
+		p.seat(q)
+	}
+	for g, l := range p.levels {
+		p.let, p.budget = p.let+l.came*l.want, p.budget+(l.came*l.want+0.01)*p.set.Groups[g].BudgetMs
+	}
+	p.budget /= p.let + 0.01*float64(len(p.levels))
 }
 
-// periods are the sums of a server since its last verdict, return or start, the zones of a period added up:
-// a zone with few flows hears mostly noise. What came over a shut link tells of the link.
-func (p *Planner) periods(s *server, span float64) []sum {
-	var out []sum
+// hear adds up a server's sums since its last verdict, the zones of a period together: one alone is noisy.
+func (p *Planner) hear(s *server) {
+	s.heard = s.heard[:0]
 	for _, a := range s.sums {
-		if a.at <= s.since || a.at <= p.now-span || (a.zone != s.Zone && p.shut(a.zone, s.Zone)) {
+		if a.at <= s.since {
 			continue
 		}
-		n := len(out) - 1
-		if n < 0 || a.at-out[n].at > p.set.ReportEveryMs/2 {
-			out = append(out, a)
+		n := len(s.heard) - 1
+		if n < 0 || a.at-s.heard[n].at > p.set.ReportEveryMs/2 {
+			s.heard = append(s.heard, a)
 			continue
 		}
-		b, good := &out[n], a.count-a.failed
-		b.latency = (b.latency*(b.count-b.failed) + a.latency*good) / math.Max(b.count-b.failed+good, 1)
-		b.count, b.failed = a.count+b.count, a.failed+b.failed
-	}
-	return out
-}
-
-// recent adds up the sums of a server.
-func (p *Planner) recent(s *server, span float64) (count, failed, latency float64) {
-	for _, a := range p.periods(s, span) {
-		count, failed = count+a.count, failed+a.failed
-		latency += a.latency * (a.count - a.failed)
-	}
-	return count, failed, latency / math.Max(count-failed, 1)
-}
-
-// floor is a server's latency when not jammed, 0 when unheard: the lower quartile of noisy means.
-func (p *Planner) floor(s *server) float64 {
-	all := []float64{}
-	for _, a := range p.periods(s, math.Inf(1)) {
-		if a.count-a.failed >= 2 {
-			all = append(all, a.latency)
+		b := &s.heard[n]
+		b.latency = (b.latency*b.good + a.latency*a.good) / math.Max(b.good+a.good, 1)
+		b.good, b.failed = a.good+b.good, a.failed+b.failed
+	}
+	clear := only(s.heard, func(a sum) bool { return a.good >= 2 })
+	s.own = quantile(clear, 4, func(a sum) float64 { return a.latency }) // the lower quartile of noisy means
+	recent := only(s.heard, func(a sum) bool { return a.at > p.now-p.window })
+	s.good = total(recent, func(a sum) float64 { return a.good })
+	s.failed = total(recent, func(a sum) float64 { return a.failed })
+	s.latency = total(recent, func(a sum) float64 { return a.latency * a.good }) / math.Max(s.good, 1)
+}
+
+// seat gives a proxy not bound yet the copy of its zone that has the least to do, and counts what it brings.
+func (p *Planner) seat(q *proxy) {
+	for k := range p.parts {
+		c, brings := p.clients[q.zone*p.parts+k], 0.0
+		for _, g := range c.groups {
+			came := q.usual / float64(len(p.levels)) // by its own word until it is heard
+			recent := only(q.usage[g], func(a sum) bool { return a.at > p.now-p.window })
+			if span := total(recent, func(a sum) float64 { return a.covers }); span > 0 {
+				came = total(recent, func(a sum) float64 { return a.good + a.failed }) / span * 1000
+			}
+			brings, p.levels[g].came = brings+came*p.levels[g].want, p.levels[g].came+came
 		}
-	}
-	return quantile(all, 4)
-}
-
-func (p *Planner) shut(from, to int) bool {
-	l := p.links[from*p.set.Zones+to]
-	return p.now < l.shutAt+l.shutFor
-}
-
-// watch shuts links on which nearly all fails: a cut between zones or a zone lost. The way is blamed, not the
-// servers; harmful where a zone's only server is slow, hence the many drops asked for.
-func (p *Planner) watch() {
-	count, failed := make([]float64, len(p.links)), make([]float64, len(p.links))
-	for _, s := range p.servers {
-		for _, a := range s.sums {
-			if a.at > p.now-cutMs && a.zone != s.Zone && s.usable() {
-				n := a.zone*p.set.Zones + s.Zone
-				count[n], failed[n] = count[n]+a.count, failed[n]+a.failed
+		for n, t := range c.tables {
+			if q.copy < 0 || k == 0 && q.bound[0] == nil && t.rate < c.tables[q.copy].rate {
+				q.copy = n
 			}
 		}
-	}
-	for n := range p.links {
-		l := &p.links[n]
-		if failed[n] >= math.Max(cutDrops, cutShare*count[n]) && p.now >= l.shutAt+l.shutFor+cutMs {
-			if l.shutFor = math.Min(2*l.shutFor, outLongest); p.now > l.shutAt+2*l.shutFor {
-				l.shutFor = outMs
+		if q.copy >= 0 {
+			t := c.tables[q.copy]
+			if q.bound[k] == t {
+				t.users = append(t.users, q)
 			}
-			l.shutAt, p.unsolved = p.now, true
+			p.empty = p.empty || q.bound[k] == nil && t.rate == 0
+			t.rate += brings
 		}
 	}
 }
 
-// fleet is how the middle server in use fares, which a few dead, slow or hidden ones do not move.
-func (p *Planner) fleet(span float64) (latency, drops, delivered float64) {
-	var ls, ds []float64
-	for _, s := range p.servers {
-		c, f, l := p.recent(s, span)
-		delivered += (c - f) / span * 1000
-		if s.usable() && c > 0 {
-			ds = append(ds, f/c)
-		}
-		if s.usable() && l > 0 {
-			ls = append(ls, l)
-		}
+// follow keeps a subscription where the list comes only to those who ask, and paces repeated calls.
+func (p *Planner) follow(h Host) bool {
+	if !p.set.MustFollow || p.following || p.now < p.followAt {
+		return false
 	}
-	return quantile(ls, 2), quantile(ds, 2), delivered
+	p.followAt = p.now + math.Max(p.askWait, p.set.AskWithinMs/3)
+	h.Follow()
+	return true
 }
 
-// quantile is the sample that one part in so many lies below; 0 without samples.
-func quantile(a []float64, part int) float64 {
-	if len(a) == 0 {
-		return 0
-	}
-	sort.Float64s(a)
-	return a[len(a)/part]
-}
+// usable servers are listed ready and not judged bad.
+func (s *server) usable() bool { return s.State == Ready && !s.bad }
 
-// demand is the paper's D: flows per second of a client's joined proxies.
-func (p *Planner) demand(c *client) (d float64) {
-	for _, q := range p.proxies {
-		count, covers := q.usual/float64(len(p.set.Groups))/1000, 0.0 // by its own word until it is heard
-		for _, a := range q.usage[c.group] {
-			if a.at > p.now-windowMs && covers == 0 {
-				count = 0
-			}
-			if a.at > p.now-windowMs {
-				count, covers = count+a.count, covers+a.covers
-			}
-		}
-		if q.zone == c.zone {
-			d += count / math.Max(covers, 1) * 1000
-		}
-	}
-	return d * p.levels[c.group].want
-}
+func (p *Planner) cold(s *server) bool { return s.BornMs > 0 && p.now-s.BornMs < p.set.WarmUpMs }
+
+// stranger is a server new to the list that never delivered; a wrong list may name some that are not ours.
+func (p *Planner) stranger(s *server) bool { return p.known && !s.proven && s.late }
 
-// fit is a server's cap in parts of its size: its speed by the floors, at once less while it is jammed more
-// than the fleet. A cap that followed every latency would swing.
-func (p *Planner) fit(s *server, floor, jammed float64) float64 {
-	own := p.floor(s)
-	heard := float64(len(p.periods(s, math.Inf(1))))
-	count, failed, latency := p.recent(s, windowMs)
-	if own == 0 || floor == 0 {
-		return 1
+// ramp is the part of its cap that a server may be given: a cold one starts low and doubles.
+func (p *Planner) ramp(s *server) float64 {
+	part := math.Min(1, trialShare*math.Exp2((p.now-s.tried)/trialMs))
+	if p.cold(s) {
+		part = math.Min(part, shyness*p.set.ColdShare*math.Exp2(math.Max(p.now-s.BornMs, 0)/doubleMs))
 	}
-	f := math.Pow(floor/own, heard/(heard+sureAfter))
-	if count >= 4 && latency > 0 {
-		f *= math.Min(1, jamSlack*jammed*own/latency) * (1 - failed/count)
+	if p.stranger(s) {
+		part = math.Min(part, capLeast)
 	}
-	return math.Max(f, capLeast)
+	return part
 }
 
-// typical is the middle floor of servers in use, and the middle of how far latencies lie above floors.
-func (p *Planner) typical(js []*server) (floor, jammed float64) {
-	var fs, rs []float64
-	for _, s := range js {
-		if f := p.floor(s); f > 0 {
-			fs = append(fs, f)
-			if _, _, l := p.recent(s, windowMs); l > 0 {
-				rs = append(rs, l/f)
-			}
-		}
+// quantile is the figure that one part in so many lies below; 0 without any.
+func quantile[T any](list []T, part int, of func(T) float64) float64 {
+	if len(list) == 0 {
+		return 0
 	}
-	return quantile(fs, 2), quantile(rs, 2)
+	figures := make([]float64, len(list))
+	for n, x := range list {
+		figures[n] = of(x)
+	}
+	slices.Sort(figures)
+	return figures[len(list)/part]
 }
 
 // solveIfDue solves every few seconds, and soon after servers came or went.
 func (p *Planner) solveIfDue() {
 	js := only(p.servers, (*server).usable)
 	since := p.now - p.solvedAt
-	if len(js) == 0 || since < soonMs || since < solveEveryMs && !p.unsolved {
+	if len(js) == 0 || p.set.Sliced || since < 2*wakeMs || since < solveEveryMs && !p.unsolved && !p.empty {
 		return // with no server to use, tables keep what they hold
 	}
-	p.split(js, p.unsolved)
-	p.solvedAt, p.unsolved, p.solves = p.now, false, p.solves+1
+	// Two copies of a table, or as many as give each server two lines in short ones.
+	each := float64(p.set.Proxies) / math.Max(float64(p.set.Zones*p.set.Planners), 1) // proxies of a client
+	n := max(copies, int(math.Min(copies*float64(len(js))/float64(p.most(js)), each/copies)))
 	for _, c := range p.clients {
-		c.tables[p.solves%copies].due = true
+		for p.solves == 0 && len(c.tables) < n {
+			t := &table{number: len(p.tables), due: true, hurried: never}
+			c.tables, p.tables = append(c.tables, t), append(p.tables, t)
+		}
+	}
+	p.look() // anew, as verdicts void what was heard and levels change what comes
+	p.split(js, p.unsolved)
+	p.solvedAt, p.unsolved, p.empty, p.solves = p.now, false, false, p.solves+1
+	for _, t := range p.tables {
+		t.due = t.due || t.number%copies == p.solves%copies
+	}
+}
+
+// most is the number of lines that a table should hold: so few that the channel can send all in a second,
+// that servers accept the connections, and that these are used before they idle out.
+func (p *Planner) most(js []*server) int {
+	all, n := math.Max(float64(p.set.Proxies), 1), float64(len(p.proxies))
+	ours := math.Max(all/math.Max(float64(p.set.Planners), 1), n)
+	lines := math.Min(p.set.ChannelRate*refreshMs/1000/ours, p.set.LeastConns*connShare*float64(len(js))/all)
+	if n > 0 {
+		usual := total(p.proxies, func(q *proxy) float64 { return q.usual }) / n
+		lines = math.Min(lines, usual*p.set.IdleMs/1000/keptOpen)
 	}
+	return max(int(lines), shortest)
 }
 
 // split solves for all clients and sets what their tables should hold.
 func (p *Planner) split(js []*server, changed bool) {
-	I, J := len(p.clients), float64(len(js))
-	D, cost, x := make([]float64, I), make([][]float64, I), make([][]cell, I)
-	total, moved := 0.0, 0.0
-	for i, c := range p.clients {
-		D[i] = p.demand(c)
-		total, moved = total+D[i], moved+math.Abs(D[i]-c.demand)/2
-		c.demand = D[i]
-	}
+	J, ours, moved := float64(len(js)), 0.0, 0.0
+	clients := slices.Clone(p.clients)
+	for _, c := range clients {
+		d := total(c.tables, func(t *table) float64 { return t.rate })
+		ours, moved, c.demand = ours+d, moved+math.Abs(d-c.demand)/2, d
+	}
+	// Proxies not ours to hear, other planners' or cut off, are taken to spread evenly and to bring as much as
+	// ours. Without them a planner with one zone's proxies would spread these as if no one else used the rest.
+	for z := range p.set.Zones {
+		seen := only(p.proxies, func(q *proxy) bool { return q.zone == z })
+		n := math.Max(0, float64(p.set.Proxies)/float64(p.set.Zones)-float64(len(seen)))
+		clients = append(clients, &client{zone: z, demand: n * ours / math.Max(float64(len(p.proxies)), 1)})
+	}
+	I := len(clients)
 	// Old prices and shares are forgotten after a shift of demand or servers, and while caps ramp up.
 	ramps := slices.ContainsFunc(js, func(s *server) bool { return p.ramp(s) < 1 })
-	changed = changed || ramps || p.ramps || moved > shift*total
+	changed = changed || ramps || p.ramps || moved > shift*ours
 	p.ramps = ramps
-	C := p.caps(js, total)
-	unit := math.Max(total, leastDemand) / float64(I)
-	for j := range C {
-		C[j] *= float64(I)
-	}
+	C := p.caps(js, ours)
 	// L is taken per zone: within one, lows show the speed of servers, which their caps have already.
-	typical, _ := p.typical(js)
-	typical = math.Max(typical, 1)
+	typical, all := math.Max(p.floor, 1), total(C, func(c float64) float64 { return c })*float64(I)
 	low := slices.Repeat([]float64{typical}, p.set.Zones)
-	for _, s := range js {
-		if L := p.floor(s); L > 0 {
-			low[s.Zone] = math.Min(low[s.Zone], L)
+	for j, s := range js {
+		C[j] *= float64(I)
+		if s.own > 0 {
+			low[s.Zone] = math.Min(low[s.Zone], s.own)
 		}
 	}
-	for i, c := range p.clients {
-		D[i] = math.Max(D[i]/unit, leastDemand)
-		cost[i], x[i] = make([]float64, len(js)), make([]cell, len(js))
-		sum := 0.0
+	D, cost, x, load := make([]float64, I), make([][]float64, I), make([][]cell, I), make([]float64, len(js))
+	unit := math.Max(total(clients, func(c *client) float64 { return c.demand }), leastDemand) / float64(I)
+	for i, c := range clients {
+		D[i], cost[i], x[i] = math.Max(c.demand/unit, leastDemand), make([]float64, len(js)), make([]cell, len(js))
+		local := len(c.groups) > 0 && p.set.Groups[c.groups[0]].OnlyZone
 		for j, s := range js {
 			L := low[s.Zone]
 			if s.Zone != c.zone {
-				L += p.set.CrossPrice * c.row.BudgetMs
+				L += p.set.CrossPrice * p.budget
 			}
-			cost[i][j] = L / typical / J * step
-			if s.Zone != c.zone && (c.row.OnlyZone || p.shut(c.zone, s.Zone)) {
-				cost[i][j] = math.Inf(1)
-				continue
+			if s.Zone != c.zone && local {
+				L = math.Inf(1)
 			}
-			sum += C[j]
-		}
-		for j, s := range js {
+			cost[i][j] = L / typical / J * step
 			if old, known := c.cells[s]; known && !changed {
 				x[i][j] = old
-			} else if !math.IsInf(cost[i][j], 1) {
-				x[i][j] = cell{alpha: C[j] / sum, beta: C[j] / sum}
+			} else if !math.IsInf(L, 1) {
+				x[i][j] = cell{alpha: C[j] / all, beta: C[j] / all}
 			}
 		}
 	}
 	solve(D, C, cost, x, lambdaMost/J)
-	load := make([]float64, len(js))
 	for i := range x {
 		for j := range js {
 			load[j] += x[i][j].alpha * D[i]
@@ -563,38 +558,41 @@
 	}
 	for i, c := range p.clients {
 		c.cells = map[*server]cell{}
-		var lines []line
+		var lines []*line
 		for j, s := range js {
 			c.cells[s] = x[i][j]
-			if math.IsInf(cost[i][j], 1) {
-				continue
-			}
 			share := x[i][j].alpha
 			// Guards a cold server's budget: a split cut off after 20 iterations may exceed its cap.
 			if p.ramp(s) < 1 && load[j] > C[j] {
 				share *= C[j] / load[j]
 			}
-			lines = append(lines, line{s, share})
+			if !math.IsInf(cost[i][j], 1) {
+				lines = append(lines, &line{server: s, share: share})
+			}
 		}
-		p.wants(c, lines, tiny/J)
+		p.wants(c, lines, notable/J)
 	}
 }
 
 // caps are the paper's C in parts of all demand, scaled to it with some room; cold ones are not scaled up.
-func (p *Planner) caps(js []*server, total float64) []float64 {
-	C := make([]float64, len(js))
-	typical, jammed := p.typical(js)
-	latency, _, delivered := p.fleet(windowMs)
-	able := math.Min(1, math.Max(delivered, leastDemand*total)/math.Max(total, leastDemand))
-	room := headroom + calmRoom*math.Max(0, 1-latency/p.budget()/calm)
-	warm, cold, size := 0.0, 0.0, 0.0
-	for _, s := range js {
-		size += s.Size
-	}
+// They are listed sizes by the speed that floors show, less while a server is jammed more than the fleet.
+func (p *Planner) caps(js []*server, demand float64) []float64 {
+	C, warm, cold := make([]float64, len(js)), 0.0, 0.0
+	// Of what the fleet delivers, not of what comes: in a jam all flows run to the least busy.
+	able := math.Min(1, math.Max(p.delivered, leastDemand*demand)/math.Max(demand, leastDemand))
+	room := headroom + calmRoom*math.Max(0, 1-p.latency/p.budget/calm)
+	fleet := only(js, func(s *server) bool { return !p.stranger(s) })
+	size := math.Max(total(fleet, func(s *server) float64 { return s.Size }), 1e-6)
 	for j, s := range js {
-		C[j] = s.Size / size * p.fit(s, typical, jammed) * p.ramp(s)
+		f, n := 1.0, float64(len(s.heard))
+		if s.own > 0 && p.floor > 0 {
+			f = math.Pow(p.floor/s.own, n/(n+sureAfter))
+			if s.good+s.failed >= 4 && s.latency > 0 {
+				f *= math.Min(1, jamSlack*p.jammed*s.own/s.latency) * s.good / (s.good + s.failed)
+			}
+		}
+		C[j] = s.Size / size * math.Max(f, capLeast) * p.ramp(s)
 		if p.ramp(s) < 1 {
-			// Of what the fleet delivers, not of what comes: in a jam all flows run to the least busy.
 			C[j] *= able
 			cold += C[j]
 		} else {
@@ -609,36 +607,99 @@
 	return C
 }
 
-// wants turns a client's shares into what its tables should hold: no tiny lines, but enough lines.
-func (p *Planner) wants(c *client, lines []line, small float64) {
-	sort.SliceStable(lines, func(a, b int) bool { return lines[a].share > lines[b].share })
-	want := map[*server]float64{}
-	for n, l := range lines {
+// wants turns a client's shares into what its tables should hold: no tiny lines, but enough. A fleet larger
+// than a table is shared out: a copy keeps what it holds, as moves cost lines, then takes what few hold.
+func (p *Planner) wants(c *client, lines []*line, small float64) {
+	slices.SortStableFunc(lines, func(a, b *line) int { return cmp.Compare(b.share, a.share) })
+	n, all := 0, 0.0
+	for _, l := range lines {
 		if l.share >= small || n < leastLines || p.ramp(l.server) < 1 && l.share > small/4 {
-			want[l.server] = math.Round(math.Max(l.share, small/4)*1e4) / 1e4
+			l.share = math.Max(l.share, small/4)
+			lines[n], n, all = l, n+1, all+l.share
+		}
+	}
+	lines = lines[:n]
+	in := only(c.tables, func(t *table) bool { return t.rate > 0 })
+	if len(in) == 0 {
+		in = c.tables
+	}
+	for _, t := range in {
+		for _, r := range t.rows {
+			r.want = 0
+		}
+	}
+	size := min(n, p.most(only(p.servers, (*server).usable)))
+	for _, t := range in {
+		for _, l := range lines {
+			kept := func(r *row) bool { return r.table == t && r.held() }
+			if l.rank = len(l.rows); !slices.ContainsFunc(l.server.rows, kept) {
+				l.rank += len(in)
+			}
+		}
+		byRank := slices.Clone(lines)
+		slices.SortStableFunc(byRank, func(a, b *line) int { return a.rank - b.rank })
+		for _, l := range byRank[:size] {
+			l.rows = append(l.rows, t.row(l.server))
+		}
+	}
+	for m, l := range lines {
+		if len(l.rows) == 0 { // no server is left out
+			l.rows = append(l.rows, in[m%len(in)].row(l.server))
+		}
+	}
+	p.weigh(in, lines, all)
+}
+
+func (t *table) row(s *server) *row {
+	if n := slices.IndexFunc(s.rows, func(r *row) bool { return r.table == t }); n >= 0 {
+		return s.rows[n]
+	}
+	r := &row{server: s, table: t}
+	t.rows, s.rows = append(t.rows, r), append(s.rows, r)
+	return r
+}
+
+// weigh sets weights so that the copies together give each server what the split gives it, by the flows that
+// each brings: servers and tables are scaled in turn; the last time cold servers, and down only.
+func (p *Planner) weigh(in []*table, lines []*line, all float64) {
+	brings := func(t *table) float64 { return math.Max(t.rate, leastDemand) }
+	each := func(do func(l *line, r *row)) {
+		for _, l := range lines {
+			for _, r := range l.rows {
+				do(l, r)
+			}
 		}
 	}
-	for _, t := range c.tables {
-		t.want = want
+	each(func(l *line, r *row) { r.want = l.share })
+	for it := range iterations + 1 {
+		sums := map[*table]float64{}
+		for _, l := range lines {
+			got := total(l.rows, func(r *row) float64 { return r.want * brings(r.table) }) / total(in, brings)
+			f := l.share / all / got
+			if it == iterations && (f > 1 || p.ramp(l.server) >= 1) {
+				f = 1
+			}
+			for _, r := range l.rows {
+				r.want *= f
+				sums[r.table] += r.want
+			}
+		}
+		each(func(l *line, r *row) { r.want /= sums[r.table] })
 	}
+	each(func(l *line, r *row) { r.want = math.Max(math.Round(r.want*1e4), 1) / 1e4 })
 }
 
 // solve runs ADMM with rho 1. The cells are warm and updated in place; D averages 1; a cost may be infinite.
 func solve(D, C []float64, cost [][]float64, x [][]cell, most float64) {
-	v, d, at := make([]float64, len(C)+len(D)), make([]float64, len(C)+len(D)), make([]int, len(C))
-	for it := 0; it < iterations; it++ {
+	v, d := make([]float64, len(C)+len(D)), make([]float64, len(C)+len(D))
+	for range iterations {
 		for i := range D { // Lemma 3
-			n := 0
 			for j, c := range x[i] {
-				x[i][j].alpha = 0
-				if !math.IsInf(cost[i][j], 1) {
-					v[n], d[n], at[n] = c.beta-D[i]*cost[i][j]-c.lambda, 1, j
-					n++
-				}
+				v[j], d[j] = c.beta-D[i]*cost[i][j]-c.lambda, 1
 			}
-			mu := waterline(v[:n], d[:n], 1)
-			for k, j := range at[:n] {
-				x[i][j].alpha = math.Max(v[k]-mu, 0)
+			mu := waterline(v[:len(C)], d[:len(C)], 1)
+			for j := range C {
+				x[i][j].alpha = math.Max(v[j]-mu, 0)
 			}
 		}
 		for j := range C { // Lemma 1 with prices zero, and the dual step
@@ -655,95 +716,72 @@
 	}
 }
 
-// waterline finds nu with the sum of d*max(v-d*nu, 0) equal to C, exactly: it drains the highest first.
+// waterline finds nu with the sum of d*max(v-d*nu, 0) equal to C, exactly: those under water are left out
+// until none is. Leaving one out only raises nu, so none comes back.
 func waterline(v, d []float64, C float64) float64 {
-	order := make([]int, len(v))
-	for i := range order {
-		order[i] = i
-	}
-	sort.SliceStable(order, func(a, b int) bool { return v[order[a]]*d[order[b]] > v[order[b]]*d[order[a]] })
-	sumDV, sumDD, nu := 0.0, 0.0, math.Inf(1)
-	for _, i := range order {
-		if sumDD > 0 && nu >= v[i]/d[i] {
-			break
+	for nu, n := -math.MaxFloat64, -1; ; {
+		sumDV, sumDD, in := 0.0, 0.0, 0
+		for i := range v {
+			if v[i] > d[i]*nu {
+				sumDV, sumDD, in = sumDV+d[i]*v[i], sumDD+d[i]*d[i], in+1
+			}
 		}
-		sumDV, sumDD = sumDV+d[i]*v[i], sumDD+d[i]*d[i]
-		nu = (sumDV - C) / sumDD
+		if in == n || in == 0 {
+			return nu
+		}
+		nu, n = (sumDV-C)/sumDD, in
 	}
-	return nu
 }
 
 // judge runs the sequential test on each server's sums and calls off verdicts that are served.
 func (p *Planner) judge() {
-	ready := only(p.servers, func(s *server) bool { return s.State == Ready })
-	fleet, out := float64(len(ready)), float64(1+len(ready)-len(only(ready, (*server).usable)))
-	_, drops, _ := p.fleet(windowMs)
-	unheard := only(p.proxies, func(q *proxy) bool { return p.now-q.joined < settleMs })
-	rough := drops > jamDrops || len(unheard) > len(p.proxies)/3 // or may be, beyond what is heard
+	fleet := only(p.servers, func(s *server) bool { return s.State == Ready && !p.stranger(s) })
+	n, out := float64(len(fleet)), float64(1+len(fleet)-len(only(fleet, (*server).usable)))
+	unheard := only(p.proxies, func(q *proxy) bool { return p.now-q.joined < outMs })
+	rough := p.drops > outMost || len(unheard) > len(p.proxies)/3 // or may be, beyond what is heard
 	for _, s := range p.servers {
+		// A stranger needs less evidence, and is no part of the fleet that the limit protects.
+		need, most := verdict, outMost*n
+		if p.stranger(s) {
+			need, most = verdict/2, math.Inf(1)
+		}
 		switch {
-		case s.State != Ready:
-		case s.bad && p.now >= s.badUntil:
+		case s.State != Ready || s.bad && p.now < s.badUntil:
+		case s.bad:
 			s.bad, s.since, s.tried, p.unsolved = false, p.now, p.now, true
-		case p.cold(s) && !s.bad && rough && out <= restMost*fleet:
+		case p.cold(s) && rough && out <= restMost*n:
 			// Proxies keep away from servers that drop and try others: a cold one would get it all.
-			out++
-			s.bad, s.badUntil, p.unsolved = true, p.now+p.set.FallMs, true
-		case s.bad || p.evidence(s, drops) < verdict || out > outMost*fleet:
+			s.bad, s.badUntil, p.unsolved, out = true, p.now+p.set.FallMs, true, out+1
+		case p.evidence(s) >= need && out <= most:
 			// Many bad servers at once are more likely a fault of what we hear: a cut, a jam, stale news.
-		default:
-			out++
-			s.bad, s.since, p.unsolved = true, p.now, true
 			s.badUntil = p.now + math.Min(outMs*math.Exp2(float64(s.verdicts)), outLongest)
-			s.verdicts++
+			s.bad, s.since, p.unsolved, s.verdicts = true, p.now, true, s.verdicts+1
+			if !p.stranger(s) {
+				out++
+			}
 		}
 	}
 }
 
-// evidence is a CUSUM of log likelihood ratios, dead against sound, by drops and silence.
-func (p *Planner) evidence(s *server, drops float64) float64 {
-	good := math.Min(math.Max(goodShare, 2*drops), goodMost)
-	score := 0.0
-	sums, n := p.periods(s, math.Inf(1)), 0
-	expect := p.expected(s) * p.set.ReportEveryMs / 1000 // nothing while it is out
-	for _, at := range p.fleetHeard {
-		for n < len(sums) && sums[n].at < at-p.set.ReportEveryMs/2 {
-			n++
-		}
-		if at <= s.since+p.set.LongestWayMs+p.set.ReportEveryMs {
+// evidence is a CUSUM of log likelihood ratios, dead against sound, by drops and silence. A round of sums is
+// longer the more there is to tell; so only what is missing from a round counts as silence.
+func (p *Planner) evidence(s *server) (score float64) {
+	good := math.Min(math.Max(goodShare, 2*p.drops), goodMost)
+	way := p.set.LongestWayMs + p.set.ReportEveryMs
+	last := math.Max(s.since, s.raised) + math.Max(way, outMs-roundsBack*p.round)
+	for _, a := range s.heard {
+		if a.at <= s.since+way {
 			continue
 		}
-		add := 0.0
-		if n < len(sums) && sums[n].at < at+p.set.ReportEveryMs/2 {
-			f := sums[n].failed
-			add = f*math.Log(badShare/good) + (sums[n].count-f)*math.Log((1-badShare)/(1-good))
-		} else if n > 0 || at > s.since+patienceMs {
-			add = expect // silence where flows were sent is evidence of a hang, not of health
-		}
+		add := a.failed*math.Log(badShare/good) + a.good*math.Log((1-badShare)/(1-good))
 		score = math.Max(0, score+math.Max(-sumMost, math.Min(add, sumMost)))
+		last = math.Max(a.at, s.raised+way)
 	}
-	return score
-}
-
-// expected is the rate of flows that our tables send to a server.
-func (p *Planner) expected(s *server) (rate float64) {
-	if s.out {
-		return 0
-	}
-	for _, t := range p.tables {
-		rate += t.lines[s] * p.demand(t.client) / copies
-	}
-	return rate
-}
-
-// budget is the mean latency budget of flows.
-func (p *Planner) budget() float64 {
-	sum, n := 0.0, 0.0
-	for _, c := range p.clients {
-		d := p.demand(c) + 0.01
-		sum, n = sum+c.row.BudgetMs*d, n+d
+	if quiet := p.heardAt - last - roundsBack*p.round; quiet > 0 && !s.out {
+		sent := total(s.rows, func(r *row) float64 { return r.sent * r.table.rate }) / 1000
+		score += quiet * math.Min(sent, sumMost/p.set.ReportEveryMs)
 	}
-	return sum / math.Max(n, 0.001)
+	return score
 }
 
 // levelIfDue moves the share of flows let in: down in a jam, up when calm. The traffic groups that earn least
@@ -753,38 +791,27 @@
 		return
 	}
 	p.levelAt = p.now
-	span := levelMs + p.set.ReportEveryMs/2
-	latency, drops, good := p.fleet(span)
-	came, let, all := make([]float64, len(p.levels)), 0.0, 0.0
-	for _, c := range p.clients {
-		d := p.demand(c)
-		came[c.group] += d / p.levels[c.group].want
-		let, all = let+d, all+d/p.levels[c.group].want
-	}
-	if all == 0 || latency == 0 {
+	all := total(p.levels, func(l level) float64 { return l.came })
+	if all == 0 || p.latency == 0 {
 		return
 	}
-	share := let / all
-	switch late := latency / p.budget(); {
-	case late > jam || drops > dropsMost:
+	// Drops without a wait are servers that refuse us, not a fleet that is full.
+	share, late := p.let/all, p.latency/p.budget
+	wait := math.Max(p.latency-p.floor, 0) / math.Max(p.budget-p.floor, p.floor)
+	switch {
+	case late > jam || late > calm && p.drops > dropsMost:
 		// What is delivered now is what the fleet can do; less than that lets the jam drain.
-		share = math.Max(share*levelDown, math.Min(share, good/all*drain))
-		p.levelAt += levelWaitMs
-	case late < calm && drops < dropsMost/2:
-		share = math.Min(1, share*(1+levelUp*(1-late/calm)))
-	}
-	order := make([]int, len(came))
-	for g := range order {
-		order[g] = g
-	}
-	sort.SliceStable(order, func(a, b int) bool {
-		g, h := p.set.Groups[order[a]], p.set.Groups[order[b]]
-		return g.Utility*h.BudgetMs < h.Utility*g.BudgetMs
-	})
-	cut := (1 - share) * all
-	for _, g := range order {
-		here := math.Min(cut, came[g]*(1-levelEach))
-		p.levels[g].want = math.Round((1-here/math.Max(came[g], 1e-9))*20) / 20
+		p.able, p.levelAt = p.delivered*drain, p.now+levelMs/2 // a second cut before it shows is too deep
+		share = math.Max(share*levelDown, math.Min(share, p.able/all))
+	case wait < calm:
+		if share *= 1 + levelUp*(1-wait/calm); p.let < p.able {
+			share *= 1 + levelUp*(1-wait/calm) // as much as this was delivered even in the last jam
+		}
+	}
+	cut := math.Max(1-share, 0) * all
+	for _, g := range p.order {
+		here := math.Min(cut, p.levels[g].came*(1-levelEach))
+		p.levels[g].want = math.Round((1-here/math.Max(p.levels[g].came, 1e-9))*20) / 20
 		cut -= here
 	}
 }
@@ -797,217 +824,184 @@
 	return min(p.set.DefaultRetry, RetryProven)
 }
 
-func (p *Planner) admit(h Host) bool {
-	for g := range p.levels {
-		l := &p.levels[g]
-		if l.want == l.sent || (l.sent >= 0 && !p.pay(1, p.proxies, urgent)) {
-			continue
+// plan lists what is to do, what cannot wait first. Each entry is one decision, made if the channel has room.
+func (p *Planner) plan() {
+	p.todo = append(p.todo[:0:0], p.follow)
+	for _, s := range p.servers {
+		if out := !s.usable(); out != s.out && (out || !p.unsolved) {
+			p.todo = append(p.todo, func(h Host) bool { return p.mask(h, s, out) })
 		}
-		l.sent = l.want
-		h.Admit(AllTables, g, l.want, p.retry(g))
-		return true
 	}
-	return false
+	lines := [ruled + 1][]func(Host) bool{}
+	for _, t := range p.tables {
+		p.changes(t, &lines)
+	}
+	p.todo = append(p.todo, lines[ruled]...)
+	for _, q := range p.proxies {
+		for k := range p.parts {
+			if q.bound[k] == nil && q.copy >= 0 {
+				p.bind(q, k)
+			}
+		}
+	}
+	p.todo = append(p.todo, lines[urgent]...)
+	for g := range p.levels {
+		p.todo = append(p.todo, func(h Host) bool {
+			l := &p.levels[g]
+			if l.want == l.sent || (l.sent >= 0 && !p.pay(1, p.proxies, urgent)) {
+				return false
+			}
+			l.sent = l.want
+			h.Admit(AllTables, g, l.want, p.retry(g))
+			return true
+		})
+	}
+	p.todo = append(append(p.todo, lines[tidy]...), p.receipt)
 }
 
-// queue is how many lines wait, with heads, as the channel would have drained them since.
+// queue works out how many lines wait, with heads: likely, as the channel drains them, and at the most, as if
+// it were slow since the last receipt.
 func (p *Planner) queue() float64 {
-	rate := p.set.ChannelRate / 1000
-	if len(p.tooks) > 0 && slices.Max(p.tooks) > 2*p.set.LongestWayMs {
+	rate, passed := p.set.ChannelRate/1000, p.now-p.countedAt
+	p.unsure = math.Max(0, p.unsure-passed*rate/slowest)
+	if p.slow {
 		rate /= slowest
 	}
-	p.waiting = math.Max(0, p.waiting-(p.now-p.countedAt)*rate)
+	p.waiting = math.Max(0, p.waiting-passed*rate)
 	p.countedAt = p.now
 	return p.waiting
 }
 
 // pay counts an order of so many lines to each of some proxies, if there is room for it.
 func (p *Planner) pay(lines float64, to []*proxy, urgency int) bool {
-	cost := 0.0
-	room, messages := p.set.MostWaiting*queueShare[urgency], float64(p.set.MostMessages)*messageShare[urgency]
-	for _, q := range to {
-		cost += lines
-		if q.reached(p.now) {
-			continue
-		}
-		cost += p.set.HeadLines
-		recent := 1.0
-		for _, at := range q.sent {
-			if at > p.now-p.set.MessageSpanMs {
-				recent++
-			}
-		}
-		if p.set.MostMessages > 0 && recent > messages {
+	fresh := only(to, func(q *proxy) bool { return !q.reached(p.now) })
+	cost := lines*float64(len(to)) + p.set.HeadLines*float64(len(fresh))
+	for _, q := range fresh {
+		recent := only(q.sent, func(at float64) bool { return at > p.now-p.set.MessageSpanMs })
+		if most := float64(p.set.MostMessages) * messageShare[urgency]; most > 0 && float64(len(recent)+1) > most {
 			return false
 		}
 	}
-	if waiting := p.queue(); waiting+cost > room && (waiting > 0 || urgency < ruled) {
+	full := p.queue()+cost > p.set.MostWaiting*queueShare[urgency] ||
+		p.unsure+cost > p.set.MostWaiting*queueShare[ruled]
+	if full && (p.waiting > 0 || urgency < ruled) {
 		return false
 	}
-	p.waiting += cost
-	for _, q := range to {
-		if !q.reached(p.now) {
-			q.sent = keep(q.sent, p.now, p.set.MostMessages+1)
-		}
+	p.waiting, p.unsure, p.ordered = p.waiting+cost, p.unsure+cost, p.ordered+cost
+	for _, q := range fresh {
+		q.sent = keep(q.sent, p.now, p.set.MostMessages+1)
 	}
 	return true
 }
 
-// reached says that a message leaves for the proxy in this tick.
 func (q *proxy) reached(now float64) bool { return len(q.sent) > 0 && q.sent[len(q.sent)-1] == now }
 
-// users are the proxies bound to a table.
-func (p *Planner) users(t *table) []*proxy {
-	return only(p.proxies, func(q *proxy) bool { return q.bound[t.client.group] == t })
-}
-
-// withdraw shuts out servers that drain, are gone or were judged bad.
-func (p *Planner) withdraw(h Host) bool {
-	for _, s := range p.servers {
-		holds := func(t *table) bool { return t.lines[s] > 0 }
-		if s.usable() || s.out || s.State == Ready && !slices.ContainsFunc(p.tables, holds) {
-			continue
-		}
-		// A drain waits to share its message only while messages are short, and not too long.
-		last := s.told + p.set.GraceMs/2 - p.set.LongestWayMs
-		must := (s.State != Ready || p.cold(s)) && p.now >= last
-		if p.pay(1, p.proxies, urgent) || must && p.pay(1, p.proxies, ruled) {
-			s.out = true
-			h.Withdraw(s.Server, true)
-			return true
-		}
+// mask shuts out a server that drains, is gone or was judged bad, or lets one back once no table holds more
+// of it than its ramp allows. It concerns the proxies whose tables hold it, and those not bound yet.
+func (p *Planner) mask(h Host, s *server, out bool) bool {
+	to := only(p.proxies, func(q *proxy) bool {
+		return slices.ContainsFunc(q.bound, func(t *table) bool {
+			return t == nil || slices.ContainsFunc(s.rows, func(r *row) bool { return r.table == t && r.held() })
+		})
+	})
+	if out && (len(to) == 0 || s.State == Ready && !slices.ContainsFunc(s.rows, (*row).held)) ||
+		!out && slices.ContainsFunc(s.rows, (*row).over) {
+		return false
 	}
-	return false
-}
-
-// setLine sends one line of a table.
-func (p *Planner) setLine(h Host, t *table, s *server) bool {
-	w := t.want[s]
-	t.lines[s] = w
-	if w == 0 {
-		delete(t.lines, s)
+	// A drain waits to share its message only while messages are short, and not too long.
+	must := out && (s.State != Ready || p.cold(s)) && p.now >= s.told+p.set.GraceMs/2-p.set.LongestWayMs
+	if !p.pay(1, to, urgent) && !(must && p.pay(1, to, ruled)) {
+		return false
 	}
-	h.SetLine(t.number, s.Server, w)
+	s.out = out
+	h.Withdraw(s.Server, out)
 	return true
 }
 
-// change is the next line of a table to send, additions first so that none runs bare, and how urgent it is.
-func (p *Planner) change(t *table, least float64) (next *server, urgency int) {
+// changes lists the lines of a table to send, additions first so that none runs bare, by how urgent they are.
+func (p *Planner) changes(t *table, lines *[ruled + 1][]func(Host) bool) {
 	missing, all, live := 0.0, 0.0, 0
-	var drop *server
-	for _, s := range p.servers {
-		w, l := t.want[s], t.lines[s]
-		if p.ramp(s) < 1 && s.usable() && t.over(s) && len(t.lines) > 1 {
-			return s, urgent
-		}
-		if l > 0 && !s.out {
+	var moved []*row
+	for _, r := range t.rows {
+		if r.sent > 0 && !r.server.out {
 			live++
 		}
-		missing, all = missing+math.Max(w-l, 0), all+w
-		if w > 0 && math.Abs(w-l) > least*l && next == nil {
-			next = s
-		}
-		if w == 0 && l > 0 {
-			drop = s
+		missing, all = missing+math.Max(r.want-r.sent, 0), all+r.want
+		if math.Abs(r.want-r.sent) > notable*r.sent {
+			moved = append(moved, r)
 		}
 	}
-	switch {
-	case next != nil && live == 0:
-		return next, ruled
-	case next != nil && (missing > thin*all || live == 1):
-		return next, urgent
-	case next != nil || len(t.want) == 0: // never empty a table
-		return next, tidy
+	rested := !p.unsolved && (t.hurried == p.now || p.now-t.hurried >= hurryMs)
+	slices.SortStableFunc(moved, func(a, b *row) int { return cmp.Compare(b.want-b.sent, a.want-a.sent) })
+	for _, r := range moved {
+		need := tidy
+		switch {
+		case live == 0 && r.want > 0 || len(t.users) == 0:
+			need = ruled
+		case r.want > 0 && (live == 1 || missing > thin*all):
+			need = urgent
+		case live > 1 && p.ramp(r.server) < 1 && r.server.usable() && r.over():
+			need = urgent
+		}
+		missing -= math.Max(r.want-r.sent, 0)
+		if r.sent == 0 {
+			live++
+		}
+		if all > 0 && (need == tidy && t.due || need > tidy && rested) { // never empty a table
+			lines[need] = append(lines[need], func(h Host) bool { return p.send(h, r, need) })
+		}
 	}
-	return drop, tidy
+	t.due = t.due && len(moved) > 0
 }
 
-// over says that a table holds more of a server than its ramp allows.
-func (t *table) over(s *server) bool { return t.lines[s] > 1.5*t.want[s]+overshoot }
-
-// bind hands newly joined proxies their tables, whole.
-func (p *Planner) bind(h Host) bool {
-	if p.set.Sliced {
+// send sends a line as it is wanted; in a table that nobody uses yet it costs nothing.
+func (p *Planner) send(h Host, r *row, urgency int) bool {
+	t := r.table
+	if r.want == r.sent || len(t.users) > 0 && !p.pay(1, t.users, urgency) {
 		return false
 	}
-	for _, q := range p.proxies {
-		for g := range q.bound {
-			t := p.clients[q.zone*len(p.set.Groups)+g].tables[q.copy]
-			if q.bound[g] != nil || len(t.want) == 0 {
-				continue
-			}
-			if len(p.users(t)) == 0 {
-				if s, _ := p.change(t, 0); s != nil {
-					return p.setLine(h, t, s)
-				}
-			}
-			lines := 1 + float64(2*len(t.lines)+len(p.levels)) // as if all were withdrawn, at the most
-			if !p.pay(lines, []*proxy{q}, ruled) {
-				return false
-			}
-			q.bound[g] = t
-			h.Bind(q.id, t.number, g)
-			return true
-		}
+	if r.sent == 0 {
+		r.server.raised = p.now
 	}
-	return false
-}
-
-// readmit lets a withdrawn server back once no table holds more of it than its ramp allows.
-func (p *Planner) readmit(h Host) bool {
-	for _, s := range p.servers {
-		if !s.out || !s.usable() || p.unsolved {
-			continue
-		}
-		over := slices.ContainsFunc(p.tables, func(t *table) bool { return t.over(s) })
-		if !over && p.pay(1, p.proxies, urgent) {
-			s.out = false
-			h.Withdraw(s.Server, false)
-			return true
-		}
+	if r.sent = r.want; urgency > tidy {
+		t.hurried = p.now
 	}
-	return false
+	h.SetLine(t.number, r.server.Server, r.want)
+	return true
 }
 
-// publish sends the notable changes of the copy whose turn it is, and at once those that cannot wait.
-func (p *Planner) publish(h Host, urgency int) bool {
-	for _, t := range p.tables {
-		to := p.users(t)
-		if len(to) == 0 || urgency > tidy && p.unsolved || urgency == tidy && !t.due {
-			continue
-		}
-		s, need := p.change(t, notable)
-		t.due = t.due && s != nil
-		rested := urgency == tidy || t.hurried == p.now || p.now-t.hurried >= hurryMs
-		if s != nil && need == urgency && rested && p.pay(1, to, urgency) {
-			if urgency > tidy {
-				t.hurried = p.now
-			}
-			return p.setLine(h, t, s)
+func (r *row) held() bool { return r.sent > 0 }
+
+// over says that a table holds more of a server than its ramp allows.
+func (r *row) over() bool { return r.sent > 1.5*r.want+overshoot }
+
+// bind hands a newly joined proxy its table, whole.
+func (p *Planner) bind(q *proxy, k int) {
+	c := p.clients[q.zone*p.parts+k]
+	t := c.tables[q.copy]
+	p.todo = append(p.todo, func(h Host) bool {
+		out := only(t.rows, func(r *row) bool { return r.server.out })
+		cost := float64(1 + len(p.levels) + len(t.rows) + len(out))
+		if !slices.ContainsFunc(t.rows, (*row).held) || !p.pay(cost, []*proxy{q}, ruled) {
+			return false
 		}
-	}
-	return false
+		q.bound[k], t.users = t, append(t.users, q)
+		h.Bind(q.id, t.number, c.groups)
+		return true
+	})
 }
 
-// receipt asks how long the messages of this tick take, to learn whether the channel is slow.
+// receipt asks how long the messages of this tick take: once a solve, and more often while much may wait.
 func (p *Planner) receipt(h Host) bool {
-	if p.marked == p.solves {
+	if p.marked == p.solves && p.unsure < p.set.MostWaiting*queueShare[tidy] {
 		return false
 	}
 	to := only(p.proxies, func(q *proxy) bool { return q.reached(p.now) })
-	if len(to) == 0 || !p.pay(1, to, tidy) {
+	if len(to) == 0 || !p.pay(1, to, ruled) {
 		return false
 	}
-	p.marked = p.solves
-	h.Receipt(p.marked % 65536)
-	return true
-}
-
-func (p *Planner) wake(h Host) bool {
-	if p.now < p.wakeAt {
-		return false
-	}
-	p.wakeAt = p.now + wakeMs
-	h.Wake(wakeMs)
+	p.marked, p.number = p.solves, (p.number+1)%65536
+	p.marks[p.number] = p.before
+	h.Receipt(p.number)
 	return true
 }
--- a/brain/host.go
+++ b/brain/host.go
@@ -49,6 +49,10 @@
 	GraceMs       float64 // time after which nothing may be sent to a server known to drain
 	FallMs        float64 // window in which a cold server sent too much falls over
 	CrossPrice    float64 // utility lost by a flow that leaves its zone
+	Proxies       int     // proxies of all planners
+	Planners      int
+	LeastConns    float64 // connections that the smallest server accepts
+	IdleMs        float64 // time after which a proxy closes an unused connection
 }
 
 // State of a server in the list.
@@ -82,7 +86,7 @@
 // Host carries out decisions. Each method is one decision.
 type Host interface {
 	SetLine(table int, server string, weight float64)
-	Bind(proxy, table, group int)
+	Bind(proxy, table int, groups []int)
 	Withdraw(server string, out bool)
 	Admit(table, group int, share float64, retry int)
 	Receipt(number int)
--- a/internal/wire/events.go
+++ b/internal/wire/events.go
@@ -125,11 +125,15 @@
 				Admit                                     string
 				ChannelRate, PerMessage, MostWaiting      float64
 				DefaultRetry, PushesAllowed, Slices       int
+				DataPlaneSize                             int
+				SmallestConnTable                         float64
 				ReloadSpanMs, ReportEveryMs, TransitMaxMs float64
 				StaysLocal                                []bool
 			}
-			Prices struct{ CrossZone float64 }
-			Rules  struct{ AskWithinMs, ColdShare, WarmUpMs, FallMs, StopSendingWithinMs float64 }
+			Balancers int
+			Limits    struct{ ConnIdleMs float64 }
+			Prices    struct{ CrossZone float64 }
+			Rules     struct{ AskWithinMs, ColdShare, WarmUpMs, FallMs, StopSendingWithinMs float64 }
 		}
 	}
 	if err := json.Unmarshal(raw, &m); err != nil {
@@ -145,6 +149,8 @@
 		MostMessages: f.PushesAllowed, MessageSpanMs: f.ReloadSpanMs, LongestWayMs: f.TransitMaxMs,
 		ReportEveryMs: f.ReportEveryMs, ColdShare: i.Rules.ColdShare, WarmUpMs: i.Rules.WarmUpMs,
 		FallMs: i.Rules.FallMs, GraceMs: i.Rules.StopSendingWithinMs, CrossPrice: i.Prices.CrossZone,
+		Proxies: f.DataPlaneSize, Planners: i.Balancers, LeastConns: f.SmallestConnTable,
+		IdleMs: i.Limits.ConnIdleMs,
 	}
 	for k, c := range i.Classes {
 		set.Groups = append(set.Groups, brain.TrafficGroup{BudgetMs: c.AimMs, Utility: c.Worth,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -195,9 +195,13 @@
 	in.out.start("SetLine", in.name).str("Server", server).num("W", weight).num("MapId", float64(table)).end()
 }
 
-func (in *instance) Bind(proxy, table, group int) {
+func (in *instance) Bind(proxy, table int, groups []int) {
+	set := 0.0
+	for _, g := range groups {
+		set += bit(g)
+	}
 	in.out.start("HandTable", in.name).num("Proxy", float64(proxy)).num("MapId", float64(table)).
-		num("ForClasses", bit(group)).end()
+		num("ForClasses", set).end()
 }
 
 func (in *instance) Withdraw(server string, out bool) {
