--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,8 +1,8 @@
 // Package brain decides for one planner: which tables its proxies follow, and when they hear of it.
 //
-// How to call it: New at each start, then the input methods (Listed, Joined, Left, Heard, Usage, Applied)
-// after a Tick with the time; they only update what is known. Then Next until it says false: each call makes
-// at most one decision, by one call on the Host. The interface is in host.go, the reasons in docs/design.md.
+// How to call it: New at each start, then the input methods after a Tick with the time; they only update what
+// is known. Then Next until it says false: each call makes at most one decision, by one call on the Host. The
+// interface is in host.go, the reasons in docs/design.md.
 package brain
 
 import (
@@ -40,7 +40,7 @@
 	sureAfter   = 3      // sums after which a floor counts half; fewer are chance
 	jamSlack    = 1.5    // times the fleet's ratio of latency to floor that is no jam; sums are noisy
 	doubleMs    = 5000.0 // ms; the design's doubling time of a new server's cap
-	shyness     = 0.5    // part of the cold share that a start begins with; the pick of two may double it
+	shyness     = 0.8    // part of the cold share that a start begins with; the pick of two may double it
 
 	verdict    = 6.0     // nats; a dozen drops with nothing delivered, a false alarm in some 400 sums
 	sumMost    = 4.0     // nats that a single sum may add; one odd report is never enough
@@ -54,14 +54,16 @@
 	trialShare = 0.2     // part of its cap that a server is let back with; a second verdict costs little
 	trialMs    = 1500.0  // ms in which that part doubles; full again in some three report periods
 
-	levelMs   = 2000.0 // ms; a level shows in the sums after about this time
-	jam       = 0.5    // latency over latency budget above which a tenth or so is late
-	calm      = 0.35   // and below which drops are no jam; of the wait above floors, when levels may rise
-	dropsMost = 0.12   // share of flows dropped that means overload rather than chance
-	levelDown = 0.6    // most that one step may cut the flows let in to; sums may be late
-	drain     = 0.85   // part of the delivered rate let in during a jam, so that it drains
-	levelUp   = 0.3    // part more let in at each step while latency is nil, less the nearer it is to calm
-	levelEach = 0.1    // least level of a traffic group; some of it shows whether the jam is over
+	levelMs    = 2000.0 // ms; a level shows in the sums after about this time
+	jam        = 0.5    // latency over latency budget above which a tenth or so is late
+	calm       = 0.35   // and below which drops are no jam; of the wait above floors, when levels may rise
+	dropsMost  = 0.12   // share of flows dropped that means overload rather than chance
+	levelDown  = 0.6    // most that one step may cut the flows let in to; sums may be late
+	lastRounds = 1.2    // rounds of sums that levels go by; older ones are from before the last step
+	ableKept   = 0.8    // part of what was once delivered that is believed in a jam; servers may be fewer
+	drain      = 0.85   // part of the delivered rate let in during a jam, so that it drains
+	levelUp    = 0.3    // part more let in at each step while latency is nil, less the nearer it is to calm
+	levelEach  = 0.1    // least level of a traffic group; some of it shows whether the jam is over
 
 	slowest    = 6.0    // times slower that the channel may be at the worst, until a receipt shows otherwise
 	askAgainMs = 1200.0 // ms; first wait after a failed call for the list, doubled each time
@@ -98,8 +100,8 @@
 	raised          float64 // when a table that did not hold it was sent it
 	verdicts        int
 	heard           []sum   // as of this look: its sums since the last verdict, by report period
-	good, failed    float64 // of these, in the window
-	latency, own    float64 // in the window; when not jammed, 0 when unheard
+	past, last      sum     // of these, in the window and in the last round
+	own             float64 // its latency when not jammed, 0 when unheard
 }
 
 type proxy struct {
@@ -145,8 +147,11 @@
 	want, sent float64
 }
 
-// level is the admission of one traffic group, and the flows per second that come, blocked or not.
-type level struct{ want, sent, came float64 }
+// level is the admission of one traffic group, the flows per second that come, and when they are repeated.
+type level struct {
+	want, sent, came float64
+	retry            int
+}
 
 // Planner decides for the proxies joined to it. It shares nothing with other planners.
 type Planner struct {
@@ -169,9 +174,8 @@
 	ramps, unsolved                      bool // the last solve had servers on their ramp; usable servers changed
 	empty, stirred, known                bool // a proxy joins an unused table; news; some server has delivered
 
-	// As of this look: ms that sums come apart, and that they are looked back for; how the middle server in use
-	// fares, which a few odd ones do not move; mean latency budget; flows per second let in, delivered now, and
-	// delivered in the last jam. Then the channel: lines waiting, likely and at most; all, now and a tick ago.
+	// As of this look: ms that sums come apart and are looked back for; how the middle server fares; budget;
+	// flows per second let in, delivered, believed possible. The channel: lines waiting, at most, ordered.
 	round, window, latency, drops, floor, jammed, budget, let, delivered, able float64
 	waiting, unsure, ordered, before, countedAt, followAt, askWait, wakeAt     float64
 
@@ -187,10 +191,11 @@
 		solvedAt: never, levelAt: never, lookedAt: never, wakeAt: never, heardAt: never}
 	var parts [2][]int // traffic groups that may go to the same servers
 	for g, row := range set.Groups {
-		p.levels = append(p.levels, level{want: 1, sent: 1})
-		if p.retry(g) != set.DefaultRetry {
-			p.levels[g].sent = -1 // proxies must be told that they may not repeat
+		l := level{want: 1, sent: 1, retry: set.DefaultRetry}
+		if row.Repeat != Retriable && l.retry > RetryProven {
+			l.sent, l.retry = -1, RetryProven // proxies must be told that they may not repeat
 		}
+		p.levels = append(p.levels, l)
 		k := map[bool]int{true: 1}[row.OnlyZone]
 		parts[k], p.order = append(parts[k], g), append(p.order, g)
 	}
@@ -233,7 +238,7 @@
 			// Back cold under its old name: what was heard is void, and what old tables sent it counts
 			// against its budget, so that it rests until that is out of the window.
 			s.sums, s.since, s.tried, s.verdicts = nil, p.now, never, 0
-			s.bad, s.badUntil = e.BornMs > p.now-p.set.WarmUpMs, p.now+2*p.set.FallMs
+			s.bad, s.badUntil = e.BornMs > p.now-p.set.WarmUpMs, p.now+p.set.FallMs+p.set.LongestWayMs
 		}
 		if e.State != s.State {
 			s.told = p.now
@@ -280,7 +285,6 @@
 	return append(slices.Clone(list[max(0, len(list)-most+1):]), last)
 }
 
-// Heard is what the proxies of a zone met at a server.
 func (p *Planner) Heard(name string, zone, count, failed int, latency, covers float64) {
 	s := p.byName[name]
 	if s == nil || count <= 0 || zone < 0 || zone >= p.set.Zones {
@@ -309,8 +313,7 @@
 	}
 }
 
-// Next makes at most one decision and says whether it made one. Every so often, or when news cannot wait, it
-// lists what is to do; so the orders of a look share a message a proxy.
+// Next makes at most one decision and says whether it did. The orders of a look share a message a proxy.
 func (p *Planner) Next(h Host) bool {
 	if p.now-p.lookedAt >= wakeMs || p.stirred {
 		p.lookedAt, p.stirred = p.now, false
@@ -344,14 +347,14 @@
 	for _, s := range p.servers {
 		s.rows = only(s.rows, live)
 		p.hear(s)
-		p.delivered += s.good / p.window * 1000
+		p.delivered += s.past.good / p.window * 1000
 	}
-	used := only(p.servers, func(s *server) bool { return s.usable() && s.good+s.failed > 0 })
-	p.drops = quantile(used, 2, func(s *server) float64 { return s.failed / (s.good + s.failed) })
-	used = only(used, func(s *server) bool { return s.own > 0 && s.latency > 0 })
-	p.latency = quantile(used, 2, func(s *server) float64 { return s.latency })
+	used := only(p.servers, func(s *server) bool { return s.usable() && s.past.tries() > 0 })
+	p.drops = quantile(used, 2, func(s *server) float64 { return s.past.failed / s.past.tries() })
+	used = only(used, func(s *server) bool { return s.own > 0 && s.past.latency > 0 })
+	p.latency = quantile(used, 2, func(s *server) float64 { return s.past.latency })
 	p.floor = quantile(used, 2, func(s *server) float64 { return s.own })
-	p.jammed = quantile(used, 2, func(s *server) float64 { return s.latency / s.own })
+	p.jammed = quantile(used, 2, func(s *server) float64 { return s.past.latency / s.own })
 	for _, t := range p.tables {
 		t.rows, t.users, t.rate = only(t.rows, live), nil, 0
 	}
@@ -385,12 +388,21 @@
 	}
 	clear := only(s.heard, func(a sum) bool { return a.good >= 2 })
 	s.own = quantile(clear, 4, func(a sum) float64 { return a.latency }) // the lower quartile of noisy means
-	recent := only(s.heard, func(a sum) bool { return a.at > p.now-p.window })
-	s.good = total(recent, func(a sum) float64 { return a.good })
-	s.failed = total(recent, func(a sum) float64 { return a.failed })
-	s.latency = total(recent, func(a sum) float64 { return a.latency * a.good }) / math.Max(s.good, 1)
+	s.past, s.last = s.recent(p.now-p.window), s.recent(p.now-lastRounds*p.round)
+}
+
+func (s *server) recent(since float64) (a sum) {
+	for _, b := range s.heard {
+		if b.at > since {
+			a.good, a.failed, a.latency = a.good+b.good, a.failed+b.failed, a.latency+b.latency*b.good
+		}
+	}
+	a.latency /= math.Max(a.good, 1)
+	return a
 }
 
+func (a sum) tries() float64 { return a.good + a.failed }
+
 // seat gives a proxy not bound yet the copy of its zone that has the least to do, and counts what it brings.
 func (p *Planner) seat(q *proxy) {
 	for k := range p.parts {
@@ -419,7 +431,6 @@
 	}
 }
 
-// follow keeps a subscription where the list comes only to those who ask, and paces repeated calls.
 func (p *Planner) follow(h Host) bool {
 	if !p.set.MustFollow || p.following || p.now < p.followAt {
 		return false
@@ -429,7 +440,6 @@
 	return true
 }
 
-// usable servers are listed ready and not judged bad.
 func (s *server) usable() bool { return s.State == Ready && !s.bad }
 
 func (p *Planner) cold(s *server) bool { return s.BornMs > 0 && p.now-s.BornMs < p.set.WarmUpMs }
@@ -587,8 +597,8 @@
 		f, n := 1.0, float64(len(s.heard))
 		if s.own > 0 && p.floor > 0 {
 			f = math.Pow(p.floor/s.own, n/(n+sureAfter))
-			if s.good+s.failed >= 4 && s.latency > 0 {
-				f *= math.Min(1, jamSlack*p.jammed*s.own/s.latency) * s.good / (s.good + s.failed)
+			if s.past.tries() >= 4 && s.past.latency > 0 {
+				f *= math.Min(1, jamSlack*p.jammed*s.own/s.past.latency) * s.past.good / s.past.tries()
 			}
 		}
 		C[j] = s.Size / size * math.Max(f, capLeast) * p.ramp(s)
@@ -716,8 +726,7 @@
 	}
 }
 
-// waterline finds nu with the sum of d*max(v-d*nu, 0) equal to C, exactly: those under water are left out
-// until none is. Leaving one out only raises nu, so none comes back.
+// waterline finds nu with the sum of d*max(v-d*nu, 0) equal to C; leaving out those under it only raises it.
 func waterline(v, d []float64, C float64) float64 {
 	for nu, n := -math.MaxFloat64, -1; ; {
 		sumDV, sumDD, in := 0.0, 0.0, 0
@@ -740,10 +749,9 @@
 	unheard := only(p.proxies, func(q *proxy) bool { return p.now-q.joined < outMs })
 	rough := p.drops > outMost || len(unheard) > len(p.proxies)/3 // or may be, beyond what is heard
 	for _, s := range p.servers {
-		// A stranger needs less evidence, and is no part of the fleet that the limit protects.
-		need, most := verdict, outMost*n
+		need := verdict
 		if p.stranger(s) {
-			need, most = verdict/2, math.Inf(1)
+			need /= 2
 		}
 		switch {
 		case s.State != Ready || s.bad && p.now < s.badUntil:
@@ -752,13 +760,10 @@
 		case p.cold(s) && rough && out <= restMost*n:
 			// Proxies keep away from servers that drop and try others: a cold one would get it all.
 			s.bad, s.badUntil, p.unsolved, out = true, p.now+p.set.FallMs, true, out+1
-		case p.evidence(s) >= need && out <= most:
+		case p.evidence(s) >= need && out <= outMost*n:
 			// Many bad servers at once are more likely a fault of what we hear: a cut, a jam, stale news.
 			s.badUntil = p.now + math.Min(outMs*math.Exp2(float64(s.verdicts)), outLongest)
-			s.bad, s.since, p.unsolved, s.verdicts = true, p.now, true, s.verdicts+1
-			if !p.stranger(s) {
-				out++
-			}
+			s.bad, s.since, p.unsolved, s.verdicts, out = true, p.now, true, s.verdicts+1, out+1
 		}
 	}
 }
@@ -784,8 +789,7 @@
 	return score
 }
 
-// levelIfDue moves the share of flows let in: down in a jam, up when calm. The traffic groups that earn least
-// for their work, by utility for latency budget, give way first.
+// levelIfDue moves the share of flows let in. The groups that earn least for their work give way first.
 func (p *Planner) levelIfDue() {
 	if !p.set.CanAdmit || p.now-p.levelAt < levelMs {
 		return
@@ -795,18 +799,25 @@
 	if all == 0 || p.latency == 0 {
 		return
 	}
-	// Drops without a wait are servers that refuse us, not a fleet that is full.
-	share, late := p.let/all, p.latency/p.budget
-	wait := math.Max(p.latency-p.floor, 0) / math.Max(p.budget-p.floor, p.floor)
+	// Only the last sums count, as older ones are from before the last step. Drops without a wait are servers
+	// that refuse us, not a fleet that is full.
+	used := only(p.servers, func(s *server) bool { return s.usable() && s.last.tries() > 0 })
+	drops := quantile(used, 2, func(s *server) float64 { return s.last.failed / s.last.tries() })
+	used = only(used, func(s *server) bool { return s.last.latency > 0 })
+	latency := quantile(used, 2, func(s *server) float64 { return s.last.latency })
+	tries := total(p.servers, func(s *server) float64 { return s.last.tries() })
+	delivered := p.let * total(p.servers, func(s *server) float64 { return s.last.good }) / math.Max(tries, 1)
+	share, late := p.let/all, latency/p.budget
+	wait := math.Max(latency-p.floor, 0) / math.Max(p.budget-p.floor, p.floor)
 	switch {
-	case late > jam || late > calm && p.drops > dropsMost:
-		// What is delivered now is what the fleet can do; less than that lets the jam drain.
-		p.able, p.levelAt = p.delivered*drain, p.now+levelMs/2 // a second cut before it shows is too deep
-		share = math.Max(share*levelDown, math.Min(share, p.able/all))
+	case late > jam || late > calm && drops > dropsMost:
+		// What was delivered is what the fleet can do; less lets the jam drain, and is let in at once afterwards.
+		// A second cut before this one shows would be too deep.
+		p.able, p.levelAt = math.Max(delivered, ableKept*p.able), p.now+levelMs/2
+		share = math.Min(share, math.Max(share*levelDown, p.able*drain/all))
 	case wait < calm:
-		if share *= 1 + levelUp*(1-wait/calm); p.let < p.able {
-			share *= 1 + levelUp*(1-wait/calm) // as much as this was delivered even in the last jam
-		}
+		p.able = math.Max(p.able, delivered)
+		share = math.Max(share*(1+levelUp*(1-wait/calm)), math.Min(p.able*drain/all, 1))
 	}
 	cut := math.Max(1-share, 0) * all
 	for _, g := range p.order {
@@ -816,14 +827,6 @@
 	}
 }
 
-// retry is the boldest mode that no repeat rule can be broken by.
-func (p *Planner) retry(g int) int {
-	if p.set.Groups[g].Repeat == Retriable {
-		return p.set.DefaultRetry
-	}
-	return min(p.set.DefaultRetry, RetryProven)
-}
-
 // plan lists what is to do, what cannot wait first. Each entry is one decision, made if the channel has room.
 func (p *Planner) plan() {
 	p.todo = append(p.todo[:0:0], p.follow)
@@ -852,15 +855,14 @@
 				return false
 			}
 			l.sent = l.want
-			h.Admit(AllTables, g, l.want, p.retry(g))
+			h.Admit(AllTables, g, l.want, l.retry)
 			return true
 		})
 	}
 	p.todo = append(append(p.todo, lines[tidy]...), p.receipt)
 }
 
-// queue works out how many lines wait, with heads: likely, as the channel drains them, and at the most, as if
-// it were slow since the last receipt.
+// queue works out the lines that wait, with heads: likely, and at most, were it slow since the last receipt.
 func (p *Planner) queue() float64 {
 	rate, passed := p.set.ChannelRate/1000, p.now-p.countedAt
 	p.unsure = math.Max(0, p.unsure-passed*rate/slowest)
@@ -938,9 +940,8 @@
 		switch {
 		case live == 0 && r.want > 0 || len(t.users) == 0:
 			need = ruled
-		case r.want > 0 && (live == 1 || missing > thin*all):
-			need = urgent
-		case live > 1 && p.ramp(r.server) < 1 && r.server.usable() && r.over():
+		case r.want > 0 && (live == 1 || missing > thin*all),
+			live > 1 && p.ramp(r.server) < 1 && r.server.usable() && r.over():
 			need = urgent
 		}
 		missing -= math.Max(r.want-r.sent, 0)
