Count waiting lines by proxy until they arrive; strangers move no medians

Each proxy's receipt now takes off what was ordered to it.

Strangers, servers that a wrong list names, no longer count in the medians that tell overload and evidence; with as many of them as there are servers nobody was condemned (story).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -106,10 +106,12 @@
 
 type proxy struct {
 	id, zone, copy int
-	usual, joined  float64   // flows per second by its own word; when its stream came up
-	usage          [][]sum   // by traffic group
-	bound          []*table  // by part
-	sent           []float64 // times of the last messages
+	usual, joined  float64         // flows per second by its own word; when its stream came up
+	usage          [][]sum         // by traffic group
+	bound          []*table        // by part
+	sent           []float64       // times of the last messages
+	ordered, done  float64         // lines ordered to it, and known to have reached it
+	marks          map[int]float64 // lines ordered up to each receipt asked for
 }
 
 // client is the paper's i: the proxies of one zone, for the traffic groups that may go to the same servers.
@@ -174,20 +176,18 @@
 	ramps, unsolved                      bool // the last solve had servers on their ramp; usable servers changed
 	empty, stirred, known                bool // a proxy joins an unused table; news; some server has delivered
 
-	// As of this look: ms that sums come apart and are looked back for; how the middle server fares; budget;
-	// flows per second let in, delivered, believed possible. The channel: lines waiting, at most, ordered.
+	// As of this look: ms that sums come apart and are looked back for; the middle server; flows per second.
 	round, window, latency, drops, floor, jammed, budget, let, delivered, able float64
-	waiting, unsure, ordered, before, countedAt, followAt, askWait, wakeAt     float64
+	waiting, countedAt, followAt, askWait, wakeAt                              float64
 
-	covers          []float64       // of the last sums
-	marks           map[int]float64 // receipts asked for: all ordered before their tick
-	marked, number  int             // solve that a receipt was last asked for; its number
-	following, slow bool            // the list; the last receipt was late
+	covers          []float64 // of the last sums
+	marked, number  int       // solve that a receipt was last asked for; its number
+	following, slow bool      // the list; the last receipt was late
 }
 
 func New(set Settings, seed int64) *Planner {
 	p := &Planner{set: set, chance: rand.New(rand.NewSource(seed)), byName: map[string]*server{},
-		marks: map[int]float64{}, byID: map[int]*proxy{}, askWait: askAgainMs, unsolved: true,
+		byID: map[int]*proxy{}, askWait: askAgainMs, unsolved: true,
 		solvedAt: never, levelAt: never, lookedAt: never, wakeAt: never, heardAt: never}
 	var parts [2][]int // traffic groups that may go to the same servers
 	for g, row := range set.Groups {
@@ -213,7 +213,7 @@
 }
 
 // Tick tells the time. All that follows until the next Tick leaves in one message a proxy.
-func (p *Planner) Tick(now float64) { p.now, p.before = now, p.ordered }
+func (p *Planner) Tick(now float64) { p.now = now }
 
 func (p *Planner) Listed(form ListForm, list []Entry) {
 	if form == Failed {
@@ -231,7 +231,7 @@
 			continue
 		}
 		s := p.byName[e.Server]
-		if s == nil {
+		if e.Size = math.Max(e.Size, 1e-6); s == nil {
 			s = &server{late: form != Restored && p.solves > 0, since: p.now, tried: never, raised: never}
 			p.byName[e.Server], p.servers = s, append(p.servers, s)
 		} else if e.BornMs > s.BornMs {
@@ -244,7 +244,6 @@
 			s.told = p.now
 		}
 		s.Entry, seen[s] = e, true
-		s.Size = math.Max(e.Size, 1e-6)
 	}
 	for _, s := range p.servers {
 		if form != Change && !seen[s] && s.State != Gone {
@@ -260,7 +259,7 @@
 		return
 	}
 	q := &proxy{id: id, zone: zone, copy: -1, usual: usual, joined: p.now,
-		usage: make([][]sum, len(p.levels)), bound: make([]*table, p.parts)}
+		marks: map[int]float64{}, usage: make([][]sum, len(p.levels)), bound: make([]*table, p.parts)}
 	p.byID[id], p.proxies, p.stirred = q, append(p.proxies, q), true
 }
 
@@ -306,10 +305,9 @@
 // Applied answers a Receipt: what was ordered before it waits no more; late, it shows a slow channel.
 func (p *Planner) Applied(id, number int, took float64) {
 	p.slow = took > 2*p.set.LongestWayMs
-	if before, asked := p.marks[number]; asked {
-		p.unsure = math.Min(p.unsure, p.ordered-before)
-		p.waiting = math.Min(p.waiting, p.unsure)
-		delete(p.marks, number)
+	if q := p.byID[id]; q != nil {
+		q.done = math.Max(q.done, q.marks[number])
+		delete(q.marks, number)
 	}
 }
 
@@ -349,7 +347,7 @@
 		p.hear(s)
 		p.delivered += s.past.good / p.window * 1000
 	}
-	used := only(p.servers, func(s *server) bool { return s.usable() && s.past.tries() > 0 })
+	used := only(p.servers, func(s *server) bool { return s.usable() && !p.stranger(s) && s.past.tries() > 0 })
 	p.drops = quantile(used, 2, func(s *server) float64 { return s.past.failed / s.past.tries() })
 	used = only(used, func(s *server) bool { return s.own > 0 && s.past.latency > 0 })
 	p.latency = quantile(used, 2, func(s *server) float64 { return s.past.latency })
@@ -420,7 +418,7 @@
 				q.copy = n
 			}
 		}
-		if q.copy >= 0 {
+		if len(c.tables) > 0 {
 			t := c.tables[q.copy]
 			if q.bound[k] == t {
 				t.users = append(t.users, q)
@@ -459,7 +457,6 @@
 	return part
 }
 
-// quantile is the figure that one part in so many lies below; 0 without any.
 func quantile[T any](list []T, part int, of func(T) float64) float64 {
 	if len(list) == 0 {
 		return 0
@@ -629,10 +626,7 @@
 		}
 	}
 	lines = lines[:n]
-	in := only(c.tables, func(t *table) bool { return t.rate > 0 })
-	if len(in) == 0 {
-		in = c.tables
-	}
+	in := only(c.tables, func(t *table) bool { return t.rate > 0 || c.demand == 0 })
 	for _, t := range in {
 		for _, r := range t.rows {
 			r.want = 0
@@ -749,10 +743,6 @@
 	unheard := only(p.proxies, func(q *proxy) bool { return p.now-q.joined < outMs })
 	rough := p.drops > outMost || len(unheard) > len(p.proxies)/3 // or may be, beyond what is heard
 	for _, s := range p.servers {
-		need := verdict
-		if p.stranger(s) {
-			need /= 2
-		}
 		switch {
 		case s.State != Ready || s.bad && p.now < s.badUntil:
 		case s.bad:
@@ -760,7 +750,7 @@
 		case p.cold(s) && rough && out <= restMost*n:
 			// Proxies keep away from servers that drop and try others: a cold one would get it all.
 			s.bad, s.badUntil, p.unsolved, out = true, p.now+p.set.FallMs, true, out+1
-		case p.evidence(s) >= need && out <= outMost*n:
+		case p.evidence(s) >= verdict && out <= outMost*n:
 			// Many bad servers at once are more likely a fault of what we hear: a cut, a jam, stale news.
 			s.badUntil = p.now + math.Min(outMs*math.Exp2(float64(s.verdicts)), outLongest)
 			s.bad, s.since, p.unsolved, s.verdicts, out = true, p.now, true, s.verdicts+1, out+1
@@ -786,6 +776,9 @@
 		sent := total(s.rows, func(r *row) float64 { return r.sent * r.table.rate }) / 1000
 		score += quiet * math.Min(sent, sumMost/p.set.ReportEveryMs)
 	}
+	if p.stranger(s) {
+		score *= 2 // it may be none of ours
+	}
 	return score
 }
 
@@ -801,7 +794,7 @@
 	}
 	// Only the last sums count, as older ones are from before the last step. Drops without a wait are servers
 	// that refuse us, not a fleet that is full.
-	used := only(p.servers, func(s *server) bool { return s.usable() && s.last.tries() > 0 })
+	used := only(p.servers, func(s *server) bool { return s.usable() && !p.stranger(s) && s.last.tries() > 0 })
 	drops := quantile(used, 2, func(s *server) float64 { return s.last.failed / s.last.tries() })
 	used = only(used, func(s *server) bool { return s.last.latency > 0 })
 	latency := quantile(used, 2, func(s *server) float64 { return s.last.latency })
@@ -862,18 +855,22 @@
 	p.todo = append(append(p.todo, lines[tidy]...), p.receipt)
 }
 
-// queue works out the lines that wait, with heads: likely, and at most, were it slow since the last receipt.
+// queue works out the lines that wait, with heads, as the channel drains them; no more than have not arrived.
 func (p *Planner) queue() float64 {
-	rate, passed := p.set.ChannelRate/1000, p.now-p.countedAt
-	p.unsure = math.Max(0, p.unsure-passed*rate/slowest)
+	drained := (p.now - p.countedAt) * p.set.ChannelRate / 1000
 	if p.slow {
-		rate /= slowest
+		drained /= slowest
 	}
-	p.waiting = math.Max(0, p.waiting-passed*rate)
+	p.waiting = math.Min(math.Max(0, p.waiting-drained), p.unsure())
 	p.countedAt = p.now
 	return p.waiting
 }
 
+// unsure are lines not known to have arrived: at the most, these wait, however slow the channel is.
+func (p *Planner) unsure() float64 {
+	return total(p.proxies, func(q *proxy) float64 { return q.ordered - q.done })
+}
+
 // pay counts an order of so many lines to each of some proxies, if there is room for it.
 func (p *Planner) pay(lines float64, to []*proxy, urgency int) bool {
 	fresh := only(to, func(q *proxy) bool { return !q.reached(p.now) })
@@ -885,13 +882,16 @@
 		}
 	}
 	full := p.queue()+cost > p.set.MostWaiting*queueShare[urgency] ||
-		p.unsure+cost > p.set.MostWaiting*queueShare[ruled]
-	if full && (p.waiting > 0 || urgency < ruled) {
+		p.unsure()+cost > p.set.MostWaiting*queueShare[ruled]
+	if full && (p.unsure() > 0 || urgency < ruled) {
 		return false
 	}
-	p.waiting, p.unsure, p.ordered = p.waiting+cost, p.unsure+cost, p.ordered+cost
+	p.waiting += cost
+	for _, q := range to {
+		q.ordered += lines
+	}
 	for _, q := range fresh {
-		q.sent = keep(q.sent, p.now, p.set.MostMessages+1)
+		q.sent, q.ordered = keep(q.sent, p.now, p.set.MostMessages+1), q.ordered+p.set.HeadLines
 	}
 	return true
 }
@@ -973,7 +973,6 @@
 
 func (r *row) held() bool { return r.sent > 0 }
 
-// over says that a table holds more of a server than its ramp allows.
 func (r *row) over() bool { return r.sent > 1.5*r.want+overshoot }
 
 // bind hands a newly joined proxy its table, whole.
@@ -994,7 +993,7 @@
 
 // receipt asks how long the messages of this tick take: once a solve, and more often while much may wait.
 func (p *Planner) receipt(h Host) bool {
-	if p.marked == p.solves && p.unsure < p.set.MostWaiting*queueShare[tidy] {
+	if p.marked == p.solves && p.unsure() < p.set.MostWaiting*queueShare[urgent]/2 {
 		return false
 	}
 	to := only(p.proxies, func(q *proxy) bool { return q.reached(p.now) })
@@ -1002,7 +1001,9 @@
 		return false
 	}
 	p.marked, p.number = p.solves, (p.number+1)%65536
-	p.marks[p.number] = p.before
+	for _, q := range to {
+		q.marks[p.number] = q.ordered
+	}
 	h.Receipt(p.number)
 	return true
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -149,6 +149,50 @@
 			t.Error("the table of a bound group holds another zone")
 		}
 	})
+	t.Run("a large fleet is shared out over short tables, evenly", func(t *testing.T) {
+		set := settings()
+		set.Proxies, set.Zones, set.ChannelRate = 40, 1, 400
+		f := start(set)
+		var list []Entry
+		for i := 0; i < 60; i++ {
+			list = append(list, Entry{Server: fmt.Sprint("s", i), Size: 1})
+		}
+		f.p.Listed(Restored, list)
+		for i := 0; i < 40; i++ {
+			f.p.Joined(i, 0, 10)
+		}
+		for i := 0; i < 100; i++ {
+			f.pull()
+			f.answer()
+			f.now += 200
+			f.p.Tick(f.now)
+		}
+		load := map[string]float64{}
+		for q := 0; q < 40; q++ {
+			if n := len(f.lines[f.bound[fmt.Sprint(q, "/0")]]); n == 0 || n > 15 {
+				t.Errorf("proxy %d has a table of %d lines", q, n)
+			}
+			for s := range f.lines[f.bound[fmt.Sprint(q, "/0")]] {
+				load[s] += f.share(q, 0, s)
+			}
+		}
+		for _, e := range list {
+			near(t, "proxies' worth of flows at "+e.Server, load[e.Server], 40.0/60, 0.25)
+		}
+	})
+	t.Run("a planner with one zone's proxies leaves the rest to other planners", func(t *testing.T) {
+		set := settings()
+		set.Proxies, set.Planners, set.CrossPrice = 8, 2, 0.05
+		f := start(set)
+		f.p.Listed(Restored, ready(8))
+		for i := 0; i < 4; i++ {
+			f.p.Joined(i, 0, 10)
+		}
+		f.run(6, fine)
+		if away := f.share(0, 0, "s1") + f.share(0, 0, "s3") + f.share(0, 0, "s5") + f.share(0, 0, "s7"); away > 0.2 {
+			t.Errorf("%.2f of the flows leave their zone", away)
+		}
+	})
 	t.Run("same inputs, same outputs", func(t *testing.T) {
 		a, b := fleet(settings(), 9), fleet(settings(), 9)
 		for _, f := range []*fake{a, b} {
@@ -214,7 +258,7 @@
 	})
 	t.Run("the queue counts lines and heads and drains slowly after late receipts", func(t *testing.T) {
 		f := fleet(settings(), 6)
-		f.p.waiting, f.p.unsure = 1000, 1000
+		f.p.waiting, f.p.proxies[0].ordered, f.p.proxies[0].done = 1000, 1000, 0
 		f.now += 100
 		f.p.Tick(f.now)
 		near(t, "healthy", f.p.queue(), 750, 1)
@@ -223,9 +267,23 @@
 		f.p.Tick(f.now)
 		near(t, "slow", f.p.queue(), 750-250/slowest, 1)
 	})
+	t.Run("lines not known to have arrived fill the queue until a receipt", func(t *testing.T) {
+		f := fleet(settings(), 6)
+		f.run(10, fine)
+		q := f.p.proxies[0]
+		q.ordered = q.done + 3400 // a channel slower than it was said to be
+		if f.p.pay(1, f.p.proxies, ruled) {
+			t.Error("more is ordered than may wait")
+		}
+		q.marks[7] = q.ordered
+		f.p.Applied(q.id, 7, 900)
+		if !f.p.pay(1, f.p.proxies, ruled) {
+			t.Error("what has arrived still counts")
+		}
+	})
 	t.Run("a full queue holds tidy lines back but no drain", func(t *testing.T) {
 		f := fleet(settings(), 6)
-		f.p.waiting = 2500
+		f.p.waiting, f.p.proxies[0].ordered = 2500, f.p.proxies[0].done+2500
 		if f.p.pay(1, f.p.proxies, tidy) || !f.p.pay(1, f.p.proxies, ruled) {
 			t.Error("urgency does not decide")
 		}
@@ -338,6 +396,45 @@
 			t.Error("a server that went silent is still sent to")
 		}
 	})
+	t.Run("sums that come in long rounds condemn nobody", func(t *testing.T) {
+		f := fleet(settings(), 8)
+		f.run(10, fine)
+		for i := 0; i < 8; i++ { // a round of sums takes four seconds where the intake is small
+			f.run(3, nil)
+			for _, s := range f.p.servers {
+				f.p.Heard(s.Server, s.Zone, 20, 0, 100, 4000)
+			}
+			f.run(1, nil)
+		}
+		if len(f.out) > 0 {
+			t.Errorf("out: %v", f.out)
+		}
+	})
+	t.Run("strangers in the list get little, and soon nothing", func(t *testing.T) {
+		f := fleet(settings(), 8)
+		f.run(10, fine)
+		var ghosts []Entry
+		for i := 0; i < 8; i++ {
+			ghosts = append(ghosts, Entry{Server: fmt.Sprint("x", i), Zone: i % 2, Size: 1})
+		}
+		f.p.Listed(Change, ghosts)
+		hear := func(s string) (int, int, float64) {
+			if s[0] == 'x' {
+				return 2, 2, 0
+			}
+			return fine(s)
+		}
+		f.run(3, hear)
+		if w := f.share(0, 0, "x0"); w > 0.05 {
+			t.Errorf("a stranger has %.3f of a proxy's flows", w)
+		}
+		f.run(6, hear)
+		for i, g := range ghosts {
+			if !f.out[g.Server] && f.share(i%2, 0, g.Server) > 0 {
+				t.Errorf("%s refuses everything and is still sent to", g.Server)
+			}
+		}
+	})
 	t.Run("a full server that still delivers is not put out", func(t *testing.T) {
 		f := fleet(settings(), 8)
 		f.run(10, fine)
@@ -384,6 +481,28 @@
 			t.Errorf("level %g long after the jam", f.levels[0])
 		}
 	})
+	t.Run("servers that refuse at once are no jam", func(t *testing.T) {
+		f := fleet(settings(), 8)
+		f.run(10, fine)
+		f.run(10, func(s string) (int, int, float64) {
+			if s < "s5" {
+				return 10, 6, 100
+			}
+			return fine(s)
+		})
+		if len(f.levels) > 0 {
+			t.Errorf("levels %v though nothing waits", f.levels)
+		}
+	})
+	t.Run("after a jam what was delivered before is let in again at once", func(t *testing.T) {
+		f := fleet(settings(), 8)
+		f.run(10, fine)
+		f.run(5, jammed)
+		f.run(7, fine)
+		if f.levels[0] < 0.7 {
+			t.Errorf("level %g seven seconds after the jam", f.levels[0])
+		}
+	})
 	t.Run("one dead server is no jam", func(t *testing.T) {
 		f := fleet(settings(), 8)
 		f.run(10, fine)
--- a/brain/host_test.go
+++ b/brain/host_test.go
@@ -16,7 +16,8 @@
 	retries map[int]int
 	follows []float64
 	orders  []string
-	most    int // decisions in one tick
+	asked   []int // receipts not answered yet
+	most    int   // decisions in one tick
 }
 
 func settings() Settings {
@@ -70,6 +71,7 @@
 	for i := 0; i < seconds*5; i++ {
 		f.now += 200
 		f.p.Tick(f.now)
+		f.answer()
 		for _, s := range f.p.servers {
 			if i%5 == 0 && hear != nil {
 				if n, bad, ms := hear(s.Server); n > 0 {
@@ -143,6 +145,19 @@
 	f.levels[group], f.retries[group] = share, retry
 }
 
-func (f *fake) Receipt(number int) { f.log("receipt %d", number) }
-func (f *fake) Follow()            { f.follows = append(f.follows, f.now) }
-func (f *fake) Wake(inMs float64)  { f.log("wake %g", inMs) }
+func (f *fake) Receipt(number int) {
+	f.log("receipt %d", number)
+	f.asked = append(f.asked, number)
+}
+
+// answer is what proxies say to the receipts asked for.
+func (f *fake) answer() {
+	for _, n := range f.asked {
+		for _, q := range f.p.proxies {
+			f.p.Applied(q.id, n, 300)
+		}
+	}
+	f.asked = nil
+}
+func (f *fake) Follow()           { f.follows = append(f.follows, f.now) }
+func (f *fake) Wake(inMs float64) { f.log("wake %g", inMs) }
