--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -577,3 +577,30 @@
 		near(t, "its successor", f.share(0, 0, "n0"), 1, 0)
 	})
 }
+
+// BenchmarkSecond is one second of a planner at full size: looks, a round of sums, and what it orders.
+func BenchmarkSecond(b *testing.B) {
+	set := settings()
+	set.Zones, set.Proxies, set.Planners, set.MostMessages = 3, 420, 1, 0
+	f := start(set)
+	var list []Entry
+	for i := range 550 {
+		list = append(list, Entry{Server: fmt.Sprint("s", i), Zone: i % 3, Size: 1})
+	}
+	f.p.Listed(Restored, list)
+	for i := range 420 {
+		f.p.Joined(i, i%3, 5)
+	}
+	for n := 0; b.Loop(); n++ {
+		for range 5 {
+			f.now += 200
+			f.p.Tick(f.now)
+			f.answer()
+			f.pull()
+		}
+		for i, s := range f.p.servers {
+			f.p.Heard(s.Server, s.Zone, 8, 0, float64(90+(i+n)%40), 2000)
+		}
+		f.orders = nil
+	}
+}
