--- a/brain/brain.go
+++ b/brain/brain.go
@@ -75,15 +75,15 @@
 	tidy = iota
 	urgent
 	ruled
+	drained // withdrawals of what drains or is gone: nothing else may use up their messages
 )
 
 var (
-	queueShare   = [...]float64{tidy: 0.15, urgent: 0.6, ruled: 0.9}  // part of the longest queue
-	messageShare = [...]float64{tidy: 0.34, urgent: 0.5, ruled: 0.92} // part of the messages in a span
+	queueShare   = [...]float64{tidy: 0.15, urgent: 0.6, ruled: 0.65, drained: 0.9} // part of the longest queue
+	messageShare = [...]float64{tidy: 0.34, urgent: 0.5, ruled: 0.7, drained: 0.92} // of the messages in a span
 	never        = math.Inf(-1)
 )
 
-// sum is what proxies met at a server in one report period, or what came to a proxy.
 type sum struct {
 	zone                              int
 	at, good, failed, latency, covers float64
@@ -252,7 +252,6 @@
 	}
 }
 
-// Joined is a proxy's new stream; it keeps what it held.
 func (p *Planner) Joined(id, zone int, usual float64) {
 	p.Left(id)
 	if zone < 0 || zone >= p.set.Zones {
@@ -808,7 +807,7 @@
 		// A second cut before this one shows would be too deep.
 		p.able, p.levelAt = math.Max(delivered, ableKept*p.able), p.now+levelMs/2
 		share = math.Min(share, math.Max(share*levelDown, p.able*drain/all))
-	case wait < calm:
+	case wait < calm && drops < dropsMost:
 		p.able = math.Max(p.able, delivered)
 		share = math.Max(share*(1+levelUp*(1-wait/calm)), math.Min(p.able*drain/all, 1))
 	}
@@ -823,11 +822,6 @@
 // plan lists what is to do, what cannot wait first. Each entry is one decision, made if the channel has room.
 func (p *Planner) plan() {
 	p.todo = append(p.todo[:0:0], p.follow)
-	for _, s := range p.servers {
-		if out := !s.usable(); out != s.out && (out || !p.unsolved) {
-			p.todo = append(p.todo, func(h Host) bool { return p.mask(h, s, out) })
-		}
-	}
 	lines := [ruled + 1][]func(Host) bool{}
 	for _, t := range p.tables {
 		p.changes(t, &lines)
@@ -840,6 +834,11 @@
 			}
 		}
 	}
+	for _, s := range p.servers { // after first tables: many cold servers rest at once when planners restart
+		if out := !s.usable(); out != s.out && (out || !p.unsolved) {
+			p.todo = append(p.todo, func(h Host) bool { return p.mask(h, s, out) })
+		}
+	}
 	p.todo = append(p.todo, lines[urgent]...)
 	for g := range p.levels {
 		p.todo = append(p.todo, func(h Host) bool {
@@ -882,7 +881,7 @@
 		}
 	}
 	full := p.queue()+cost > p.set.MostWaiting*queueShare[urgency] ||
-		p.unsure()+cost > p.set.MostWaiting*queueShare[ruled]
+		p.unsure()+cost > p.set.MostWaiting*queueShare[drained]
 	if full && (p.unsure() > 0 || urgency < ruled) {
 		return false
 	}
@@ -899,11 +898,12 @@
 func (q *proxy) reached(now float64) bool { return len(q.sent) > 0 && q.sent[len(q.sent)-1] == now }
 
 // mask shuts out a server that drains, is gone or was judged bad, or lets one back once no table holds more
-// of it than its ramp allows. It concerns the proxies whose tables hold it, and those not bound yet.
+// of it than its ramp allows. It concerns the proxies whose tables hold it; others are bound at once.
 func (p *Planner) mask(h Host, s *server, out bool) bool {
 	to := only(p.proxies, func(q *proxy) bool {
 		return slices.ContainsFunc(q.bound, func(t *table) bool {
-			return t == nil || slices.ContainsFunc(s.rows, func(r *row) bool { return r.table == t && r.held() })
+			return t == nil && p.solves == 0 ||
+				slices.ContainsFunc(s.rows, func(r *row) bool { return r.table == t && r.held() })
 		})
 	})
 	if out && (len(to) == 0 || s.State == Ready && !slices.ContainsFunc(s.rows, (*row).held)) ||
@@ -912,7 +912,8 @@
 	}
 	// A drain waits to share its message only while messages are short, and not too long.
 	must := out && (s.State != Ready || p.cold(s)) && p.now >= s.told+p.set.GraceMs/2-p.set.LongestWayMs
-	if !p.pay(1, to, urgent) && !(must && p.pay(1, to, ruled)) {
+	last := ruled + min(int(s.State), 1) // drained, unless it is ready
+	if !p.pay(1, to, urgent) && !(must && p.pay(1, to, last)) {
 		return false
 	}
 	s.out = out
@@ -955,7 +956,6 @@
 	t.due = t.due && len(moved) > 0
 }
 
-// send sends a line as it is wanted; in a table that nobody uses yet it costs nothing.
 func (p *Planner) send(h Host, r *row, urgency int) bool {
 	t := r.table
 	if r.want == r.sent || len(t.users) > 0 && !p.pay(1, t.users, urgency) {
@@ -975,7 +975,6 @@
 
 func (r *row) over() bool { return r.sent > 1.5*r.want+overshoot }
 
-// bind hands a newly joined proxy its table, whole.
 func (p *Planner) bind(q *proxy, k int) {
 	c := p.clients[q.zone*p.parts+k]
 	t := c.tables[q.copy]
@@ -997,11 +996,12 @@
 		return false
 	}
 	to := only(p.proxies, func(q *proxy) bool { return q.reached(p.now) })
-	if len(to) == 0 || !p.pay(1, to, ruled) {
+	if len(to) == 0 {
 		return false
 	}
 	p.marked, p.number = p.solves, (p.number+1)%65536
-	for _, q := range to {
+	for _, q := range to { // not held back: without an answer a full queue would stay full
+		p.waiting, q.ordered = p.waiting+1, q.ordered+1
 		q.marks[p.number] = q.ordered
 	}
 	h.Receipt(p.number)
