--- a/brain/brain.go
+++ b/brain/brain.go
@@ -25,7 +25,7 @@
 	copies     = 2      // staged copies of a client's table, at least; half the proxies try a split first
 	refreshMs  = 1000.0 // ms of the channel that all lines of all proxies may take; a rush of joins fits then
 	connShare  = 0.4    // part of the connections that the smallest server accepts; full ones work slower
-	keptOpen   = 3.0    // flows on a line before its connection idles out; fewer open it ever anew
+	keptOpen   = 5.0    // flows on a line before its connection idles out; fewer open it ever anew
 	shortest   = 8      // lines; a table keeps most of its servers when a fifth fails
 	leastLines = 3      // lines of a client that are kept; two may be lost at once before a table is bare
 	notable    = 0.25   // part of a line's weight that it moves by, or of an average line; less is noise
@@ -240,14 +240,14 @@
 			s.sums, s.since, s.tried, s.verdicts = nil, p.now, never, 0
 			s.bad, s.badUntil = e.BornMs > p.now-p.set.WarmUpMs, p.now+p.set.FallMs+p.set.LongestWayMs
 		}
-		if e.State != s.State {
-			s.told = p.now
+		if e.State != s.State { // withdrawn while ready, it may have come into tables that were not told
+			s.told, s.out = p.now, s.out && s.State != Ready
 		}
 		s.Entry, seen[s] = e, true
 	}
 	for _, s := range p.servers {
 		if form != Change && !seen[s] && s.State != Gone {
-			s.State, s.told = Gone, p.now
+			s.State, s.told, s.out = Gone, p.now, s.out && s.State != Ready
 		}
 	}
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -222,6 +222,16 @@
 			t.Error("a server that the list dropped is still sent to")
 		}
 	})
+	t.Run("a server withdrawn while ready is withdrawn again when it goes", func(t *testing.T) {
+		f := fleet(settings(), 6)
+		f.run(10, fine)
+		f.p.byName["s2"].out = true // at some proxies only: others were sent it since
+		f.p.Listed(Change, []Entry{{Server: "s2", Zone: 0, State: Gone, Size: 1}})
+		f.pull()
+		if !f.out["s2"] {
+			t.Error("tables that were not told keep a server that is gone")
+		}
+	})
 	t.Run("drains keep messages of their own", func(t *testing.T) {
 		set := settings()
 		set.MostMessages = 6
