--- a/brain/brain.go
+++ b/brain/brain.go
@@ -881,7 +881,7 @@
 		}
 	}
 	full := p.queue()+cost > p.set.MostWaiting*queueShare[urgency] ||
-		p.unsure()+cost > p.set.MostWaiting*queueShare[drained]
+		p.unsure()+cost > p.set.MostWaiting*max(queueShare[ruled], queueShare[urgency])
 	if full && (p.unsure() > 0 || urgency < ruled) {
 		return false
 	}
