--- a/brain/brain.go
+++ b/brain/brain.go
@@ -408,7 +408,7 @@
 			came := q.usual / float64(len(p.levels)) // by its own word until it is heard
 			recent := only(q.usage[g], func(a sum) bool { return a.at > p.now-p.window })
 			if span := total(recent, func(a sum) float64 { return a.covers }); span > 0 {
-				came = total(recent, func(a sum) float64 { return a.good + a.failed }) / span * 1000
+				came = total(recent, sum.tries) / span * 1000
 			}
 			brings, p.levels[g].came = brings+came*p.levels[g].want, p.levels[g].came+came
 		}
@@ -520,7 +520,7 @@
 		n := math.Max(0, float64(p.set.Proxies)/float64(p.set.Zones)-float64(len(seen)))
 		clients = append(clients, &client{zone: z, demand: n * ours / math.Max(float64(len(p.proxies)), 1)})
 	}
-	I := len(clients)
+	I, most := len(clients), p.most(js)
 	// Old prices and shares are forgotten after a shift of demand or servers, and while caps ramp up.
 	ramps := slices.ContainsFunc(js, func(s *server) bool { return p.ramp(s) < 1 })
 	changed = changed || ramps || p.ramps || moved > shift*ours
@@ -576,7 +576,7 @@
 				lines = append(lines, &line{server: s, share: share})
 			}
 		}
-		p.wants(c, lines, notable/J)
+		p.wants(c, lines, most, notable/J)
 	}
 }
 
@@ -615,7 +615,7 @@
 
 // wants turns a client's shares into what its tables should hold: no tiny lines, but enough. A fleet larger
 // than a table is shared out: a copy keeps what it holds, as moves cost lines, then takes what few hold.
-func (p *Planner) wants(c *client, lines []*line, small float64) {
+func (p *Planner) wants(c *client, lines []*line, most int, small float64) {
 	slices.SortStableFunc(lines, func(a, b *line) int { return cmp.Compare(b.share, a.share) })
 	n, all := 0, 0.0
 	for _, l := range lines {
@@ -631,7 +631,6 @@
 			r.want = 0
 		}
 	}
-	size := min(n, p.most(only(p.servers, (*server).usable)))
 	for _, t := range in {
 		for _, l := range lines {
 			kept := func(r *row) bool { return r.table == t && r.held() }
@@ -641,7 +640,7 @@
 		}
 		byRank := slices.Clone(lines)
 		slices.SortStableFunc(byRank, func(a, b *line) int { return a.rank - b.rank })
-		for _, l := range byRank[:size] {
+		for _, l := range byRank[:min(n, most)] {
 			l.rows = append(l.rows, t.row(l.server))
 		}
 	}
@@ -666,6 +665,7 @@
 // each brings: servers and tables are scaled in turn; the last time cold servers, and down only.
 func (p *Planner) weigh(in []*table, lines []*line, all float64) {
 	brings := func(t *table) float64 { return math.Max(t.rate, leastDemand) }
+	rate := total(in, brings) // once, as there are many lines and rounds
 	each := func(do func(l *line, r *row)) {
 		for _, l := range lines {
 			for _, r := range l.rows {
@@ -677,7 +677,7 @@
 	for it := range iterations + 1 {
 		sums := map[*table]float64{}
 		for _, l := range lines {
-			got := total(l.rows, func(r *row) float64 { return r.want * brings(r.table) }) / total(in, brings)
+			got := total(l.rows, func(r *row) float64 { return r.want * brings(r.table) }) / rate
 			f := l.share / all / got
 			if it == iterations && (f > 1 || p.ramp(l.server) >= 1) {
 				f = 1
@@ -926,7 +926,7 @@
 	missing, all, live := 0.0, 0.0, 0
 	var moved []*row
 	for _, r := range t.rows {
-		if r.sent > 0 && !r.server.out {
+		if r.held() && !r.server.out {
 			live++
 		}
 		missing, all = missing+math.Max(r.want-r.sent, 0), all+r.want
