--- /dev/null
+++ b/internal/settings/together.go
@@ -0,0 +1,97 @@
+package settings
+
+import (
+	"net/netip"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "lichenpick/proto/settings"
+)
+
+// together checks what no field shows alone.
+func together(m proto.Message) *fault {
+	switch m := m.(type) {
+	case *pb.Planner:
+		if bad := checkGroups(m.Groups); bad != nil {
+			return bad
+		}
+		if bad := checkZones(m.Zones); bad != nil {
+			return bad
+		}
+		if m.List.From == nil {
+			return wrong(field(nil, "list"), "names no source; file or stream is wanted")
+		}
+		if m.GetPlanners() > m.GetProxies() {
+			return wrong(field(nil, "planners"), "holds %d, more than the %d proxies", m.GetPlanners(), m.GetProxies())
+		}
+		head, most := m.Channel.GetHeadLines(), float64(m.Channel.GetMostWaiting())
+		if head*4 > most {
+			return wrong(entryless("channel", "most_waiting"), "holds %g, under four head_lines of %g", most, head)
+		}
+	case *pb.Proxy:
+		if bad := checkGroups(m.Groups); bad != nil {
+			return bad
+		}
+		if m.From != "" {
+			if _, err := netip.ParseAddr(m.From); err != nil {
+				return wrong(field(nil, "from"), "holds %q; an IP address is wanted", m.From)
+			}
+		}
+	case *pb.List:
+		seen := map[string]bool{}
+		for n, e := range m.Servers {
+			if seen[e.Server] {
+				return wrong(entry(nil, "servers", n), "names %s a second time", e.Server)
+			}
+			seen[e.Server] = true
+			if e.BornUnixMs > 0 && m.AsOfUnixMs == 0 {
+				return wrong(field(nil, "as_of_unix_ms"), "is missing; births need it")
+			}
+			if e.BornUnixMs > m.AsOfUnixMs {
+				return wrong(field(entry(nil, "servers", n), "born_unix_ms"), "holds %d, after as_of_unix_ms", e.BornUnixMs)
+			}
+		}
+	}
+	return nil
+}
+
+func entryless(names ...string) (path []step) {
+	for _, n := range names {
+		path = append(path, step{n, -1})
+	}
+	return path
+}
+
+func checkGroups(groups []*pb.Group) *fault {
+	seen := map[string]bool{}
+	for n, g := range groups {
+		at := entry(nil, "groups", n)
+		if seen[g.Name] {
+			return wrong(field(at, "name"), "holds %q, which an earlier group has", g.Name)
+		}
+		seen[g.Name] = true
+		if Ms(g.Expiry) < Ms(g.LatencyBudget) {
+			return wrong(field(at, "expiry"), "holds %q, under the latency_budget of %q", g.Expiry, g.LatencyBudget)
+		}
+	}
+	return nil
+}
+
+func checkZones(zones []*pb.Zone) *fault {
+	names, prefixes := map[string]bool{}, map[netip.Prefix]string{}
+	for n, z := range zones {
+		at := entry(nil, "zones", n)
+		if names[z.Name] {
+			return wrong(field(at, "name"), "holds %q, which an earlier zone has", z.Name)
+		}
+		names[z.Name] = true
+		for k, text := range z.Prefixes {
+			p := netip.MustParsePrefix(text).Masked()
+			if other, taken := prefixes[p]; taken {
+				return wrong(entry(at, "prefixes", k), "holds %s, which zone %q has", text, other)
+			}
+			prefixes[p] = z.Name
+		}
+	}
+	return nil
+}
