List sources, and a memory that doubts a list with too much missing

A planner must follow a list that is late, cut short or empty for a poll without withdrawing its whole fleet. Files are polled, streams followed with a check of versions; what a source states is believed at once, what is only missing is kept for 10 s when it is over 0.3 of the servers. Births are worked out once from the source's own clock, so that a stepped date is no restart. Seen: an empty list for two polls leaves ten of ten servers ready; drains in the same list pass at once.

--- /dev/null
+++ b/internal/list/list.go
@@ -0,0 +1,223 @@
+// Package list brings the list of servers to a planner: sources that poll or follow, and a memory between them
+// and the module that doubts a list from which too much is missing at once.
+package list
+
+import (
+	"context"
+	"math"
+
+	"lichenpick/brain"
+)
+
+// Entry is one server as a source names it. Times are those of the source's own clock.
+type Entry struct {
+	Server     string
+	Zone       string
+	State      brain.State
+	Size       float64
+	BornUnixMs uint64 // latest start; 0: long past
+}
+
+// Update is one word of a source.
+type Update struct {
+	Form     brain.ListForm // Change, Whole or Failed
+	AsOfMs   uint64         // the source's clock, when it was true; births are counted from it
+	Version  uint64
+	Entries  []Entry
+	Trouble  string // of a Failed one
+	Restored bool   // a whole list as last held before a restart
+}
+
+// Source follows a list until the context ends. It delivers in order, from one goroutine. It returns early only
+// for what waiting will not mend.
+type Source interface {
+	Run(ctx context.Context, deliver func(Update)) error
+}
+
+const (
+	doubtShare = 0.3     // part of the servers that may vanish at once unseen; more is rather a fault of the source
+	doubtLeast = 3       // servers; of a handful, one or two may well go together
+	doubtMs    = 10000.0 // ms that vanished servers are kept; a source that polls drops them for one poll, or two
+	longPast   = 1.0     // ms; births before the clock's origin count as this late, which is warm by far
+)
+
+// Host is told what to take as listed. Births are in ms of the planner's clock.
+type Host interface {
+	Listed(form brain.ListForm, list []brain.Entry)
+}
+
+type held struct {
+	Entry
+	born    float64 // ms of the planner's clock, as worked out when this birth was first named
+	listed  bool    // in the source's last word
+	vanish  float64 // when it is believed gone, if not listed
+	changed bool    // not told yet
+}
+
+// Memory turns what sources say into what the module is told. A server that a source states to drain or be gone is
+// believed at once. One that is only missing from a whole list is believed gone at once while few are, and after
+// doubtMs when many are: guards against a source that answers with a part of its list, or with none. It also
+// covers a file read while it is written; it harms when a zone is really taken out of the list in one step, as
+// flows go there until verdicts find it dead or the time is over.
+type Memory struct {
+	zones   map[string]int
+	most    int // servers held
+	now     float64
+	servers map[string]*held
+	order   []string // of first naming, so that the module hears the same each time
+	failed  bool
+	told    bool // a first list was told
+	fresh   bool // a first list came
+
+	Refused int // entries over the limit or of zones not known, in all
+	Doubted int // entries missing that are kept for now
+}
+
+// NewMemory makes one for zones by name, that holds at most so many servers.
+func NewMemory(zones []string, most int) *Memory {
+	m := &Memory{zones: map[string]int{}, most: most, servers: map[string]*held{}}
+	for n, z := range zones {
+		m.zones[z] = n
+	}
+	return m
+}
+
+// Tick tells the time, in ms of the planner's clock.
+func (m *Memory) Tick(now float64) { m.now = now }
+
+// Told takes in a word of a source.
+func (m *Memory) Told(u Update) {
+	if u.Form == brain.Failed {
+		m.failed = true
+		return
+	}
+	m.fresh = true
+	if u.Form == brain.Whole {
+		for _, h := range m.servers {
+			h.listed = false
+		}
+	}
+	for _, e := range u.Entries {
+		m.take(e, u.AsOfMs)
+	}
+	if u.Form != brain.Whole {
+		return
+	}
+	missing, all := 0, 0
+	for _, h := range m.servers {
+		if h.State != brain.Gone {
+			if all++; !h.listed {
+				missing++
+			}
+		}
+	}
+	many := missing >= doubtLeast && float64(missing) > doubtShare*float64(all)
+	m.Doubted = 0
+	for _, h := range m.servers {
+		switch {
+		case h.listed || h.State == brain.Gone:
+			h.vanish = math.Inf(1)
+		case !many:
+			h.vanish = m.now
+		case math.IsInf(h.vanish, 1):
+			h.vanish = m.now + doubtMs
+		}
+		if !h.listed && h.State != brain.Gone && h.vanish > m.now {
+			m.Doubted++
+		}
+	}
+}
+
+func (m *Memory) take(e Entry, asOf uint64) {
+	h := m.servers[e.Server]
+	if _, known := m.zones[e.Zone]; !known || h == nil && len(m.servers) >= m.most && !m.forget() {
+		m.Refused++
+		return
+	}
+	if h == nil {
+		h = &held{vanish: math.Inf(1), changed: true}
+		h.State = -1
+		m.servers[e.Server], m.order = h, append(m.order, e.Server)
+	}
+	// A birth is worked out once, from the source's own clock: steps of this machine's date would otherwise look
+	// like restarts.
+	if e.BornUnixMs != h.BornUnixMs {
+		h.born, h.changed = 0, true
+		if e.BornUnixMs > 0 {
+			age := math.Max(float64(asOf)-float64(e.BornUnixMs), 0)
+			h.born = math.Max(m.now-age, longPast)
+		}
+	}
+	h.changed = h.changed || h.State != e.State || h.Zone != e.Zone || h.Size != e.Size
+	h.Entry, h.listed, h.vanish = e, true, math.Inf(1)
+}
+
+// forget makes room by a server that is gone and was told so.
+func (m *Memory) forget() bool {
+	for n, name := range m.order {
+		if h := m.servers[name]; h.State == brain.Gone && !h.changed {
+			delete(m.servers, name)
+			m.order = append(m.order[:n], m.order[n+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Next tells the host at most one thing, and says whether it did.
+func (m *Memory) Next(h Host) bool {
+	if m.failed {
+		m.failed = false
+		h.Listed(brain.Failed, nil)
+		return true
+	}
+	if !m.fresh {
+		return false
+	}
+	var list []brain.Entry
+	for _, name := range m.order {
+		s := m.servers[name]
+		if !s.listed && s.State != brain.Gone && s.vanish <= m.now {
+			s.State, s.changed = brain.Gone, true
+			m.Doubted = max(m.Doubted-1, 0)
+		}
+		if s.changed || !m.told && s.State != brain.Gone {
+			s.changed = false
+			list = append(list, brain.Entry{Server: name, Zone: m.zones[s.Zone], State: s.State, Size: s.Size, BornMs: s.born})
+		}
+	}
+	form := brain.Change
+	if !m.told {
+		form, m.told = brain.Whole, true
+	} else if len(list) == 0 {
+		return false
+	}
+	h.Listed(form, list)
+	return true
+}
+
+// Due is when something missing will be believed gone, in ms; infinite if nothing is.
+func (m *Memory) Due() float64 {
+	due := math.Inf(1)
+	for _, h := range m.servers {
+		if !h.listed && h.State != brain.Gone {
+			due = math.Min(due, h.vanish)
+		}
+	}
+	return due
+}
+
+// Servers counts what is held by state.
+func (m *Memory) Servers() (ready, draining, gone int) {
+	for _, h := range m.servers {
+		switch h.State {
+		case brain.Ready:
+			ready++
+		case brain.Draining:
+			draining++
+		default:
+			gone++
+		}
+	}
+	return ready, draining, gone
+}
--- /dev/null
+++ b/internal/list/list_test.go
@@ -0,0 +1,191 @@
+package list
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"lichenpick/brain"
+	"lichenpick/internal/clock"
+	"lichenpick/proto/order"
+)
+
+// module keeps what the module would hold.
+type module struct {
+	states map[string]brain.State
+	born   map[string]float64
+	forms  []brain.ListForm
+}
+
+func (m *module) Listed(form brain.ListForm, list []brain.Entry) {
+	m.forms = append(m.forms, form)
+	for _, e := range list {
+		m.states[e.Server], m.born[e.Server] = e.State, e.BornMs
+	}
+}
+
+func (m *module) ready() (n int) {
+	for _, s := range m.states {
+		if s == brain.Ready {
+			n++
+		}
+	}
+	return n
+}
+
+func whole(n int) Update {
+	u := Update{Form: brain.Whole, AsOfMs: 1e12}
+	for i := range n {
+		u.Entries = append(u.Entries, Entry{Server: fmt.Sprint("s", i), Zone: "a", Size: 1})
+	}
+	return u
+}
+
+func TestMemory(t *testing.T) {
+	begin := func() (*Memory, *module, func(now float64, u ...Update)) {
+		m, h := NewMemory([]string{"a", "b"}, 100), &module{states: map[string]brain.State{}, born: map[string]float64{}}
+		return m, h, func(now float64, all ...Update) {
+			m.Tick(now)
+			for _, u := range all {
+				m.Told(u)
+			}
+			for m.Next(h) {
+			}
+		}
+	}
+	t.Run("an empty list is doubted for a while, and a full one ends the doubt", func(t *testing.T) {
+		m, h, at := begin()
+		at(1000, whole(10))
+		at(1500, whole(0))
+		at(2000, whole(0))
+		if h.ready() != 10 || m.Doubted != 10 {
+			t.Errorf("%d ready, %d doubted", h.ready(), m.Doubted)
+		}
+		at(2500, whole(10))
+		at(30000)
+		if h.ready() != 10 || m.Doubted != 0 {
+			t.Errorf("%d ready, %d doubted", h.ready(), m.Doubted)
+		}
+	})
+	t.Run("but believed in the end", func(t *testing.T) {
+		m, h, at := begin()
+		at(1000, whole(10))
+		at(2000, whole(0))
+		if due := m.Due(); due != 2000+doubtMs {
+			t.Errorf("due %g", due)
+		}
+		at(6000, whole(0))
+		at(2000 + doubtMs)
+		if h.ready() != 0 {
+			t.Errorf("%d ready", h.ready())
+		}
+	})
+	t.Run("a drain is believed at once, in the same list as a doubt", func(t *testing.T) {
+		_, h, at := begin()
+		at(1000, whole(10))
+		u := whole(3)
+		u.Entries[0].State = brain.Draining
+		at(1500, u)
+		if h.states["s0"] != brain.Draining || h.ready() != 9 {
+			t.Errorf("%v", h.states)
+		}
+	})
+	t.Run("one that is missing among many is gone at once", func(t *testing.T) {
+		_, h, at := begin()
+		at(1000, whole(10))
+		at(1500, whole(9))
+		if h.states["s9"] != brain.Gone {
+			t.Errorf("%v", h.states)
+		}
+	})
+	t.Run("births are by the source's clock, and steps of a clock are no restarts", func(t *testing.T) {
+		_, h, at := begin()
+		u := whole(1)
+		u.Entries[0].BornUnixMs = 1e12 - 4000
+		at(1e9, u)
+		at(1e9+500, u)
+		u.AsOfMs += 3600e3 // the same birth, told by a clock that was set forward
+		at(1e9+1000, u)
+		if h.born["s0"] != 1e9-4000 || len(h.forms) != 1 {
+			t.Errorf("born %g, told %v", h.born["s0"], h.forms)
+		}
+		u.Entries[0].BornUnixMs = u.AsOfMs - 100
+		at(1e9+2000, u)
+		if h.born["s0"] != 1e9+1900 {
+			t.Errorf("born %g", h.born["s0"])
+		}
+	})
+	t.Run("a birth before the clock's origin is long past, not unknown, and never negative", func(t *testing.T) {
+		_, h, at := begin()
+		u := whole(1)
+		u.Entries[0].BornUnixMs = 5
+		at(1000, u)
+		if h.born["s0"] != longPast {
+			t.Errorf("born %g", h.born["s0"])
+		}
+	})
+	t.Run("what is over the limit is refused, and the dead make room", func(t *testing.T) {
+		m, h, at := begin()
+		at(1000, whole(120))
+		if h.ready() != 100 || m.Refused != 20 {
+			t.Errorf("%d ready, %d refused", h.ready(), m.Refused)
+		}
+		at(2000, Update{Form: brain.Change, Entries: []Entry{{Server: "s0", Zone: "a", State: brain.Gone}}})
+		at(2500, Update{Form: brain.Change, Entries: []Entry{{Server: "new", Zone: "a"}, {Server: "odd", Zone: "nowhere"}}})
+		if h.states["new"] != brain.Ready || m.Refused != 21 {
+			t.Errorf("%v, %d refused", h.states["new"], m.Refused)
+		}
+	})
+	t.Run("a failed call changes nothing", func(t *testing.T) {
+		_, h, at := begin()
+		at(1000, whole(4))
+		at(2000, Update{Form: brain.Failed})
+		if h.ready() != 4 || fmt.Sprint(h.forms) != fmt.Sprint([]brain.ListForm{brain.Whole, brain.Failed}) {
+			t.Errorf("%v", h.forms)
+		}
+	})
+}
+
+func TestFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "list.txtpb")
+	write := func(text string) {
+		if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(`servers { server: "127.0.0.1:1" zone: "a" }`)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	got := make(chan Update, 10)
+	go (&File{Path: path, PollMs: 5, Clock: clock.NewReal()}).Run(ctx, func(u Update) { got <- u })
+	if u := <-got; u.Form != brain.Whole || len(u.Entries) != 1 {
+		t.Errorf("%v", u)
+	}
+	// A file cut short is one failed call, named with its place; the whole file is read again afterwards.
+	write(`servers { server: "127.0.0.1:1" zone: "a`)
+	if u := <-got; u.Form != brain.Failed || !strings.Contains(u.Trouble, "list.txtpb:1:") {
+		t.Errorf("%v", u)
+	}
+	write(`servers { server: "127.0.0.1:1" zone: "a" }`)
+	if u := <-got; u.Form != brain.Whole || u.Version != 2 {
+		t.Errorf("%v", u)
+	}
+}
+
+func TestFollower(t *testing.T) {
+	var got []Update
+	f := &follower{deliver: func(u Update) { got = append(got, u) }}
+	f.Listed(&order.Listing{Form: order.Listing_WHOLE, Version: 4})
+	f.Listed(&order.Listing{Form: order.Listing_CHANGE, Version: 5})
+	f.Listed(&order.Listing{Form: order.Listing_CHANGE, Version: 7}) // 6 was lost: it may have been a drain
+	f.Listed(&order.Listing{Form: order.Listing_CHANGE, Version: 8})
+	if len(got) != 2 || !f.gap {
+		t.Errorf("%v, gap %v", got, f.gap)
+	}
+}
--- /dev/null
+++ b/internal/list/source.go
@@ -0,0 +1,162 @@
+package list
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"net/netip"
+	"os"
+	"time"
+
+	"lichenpick/brain"
+	"lichenpick/internal/clock"
+	"lichenpick/internal/orders"
+	"lichenpick/internal/settings"
+	"lichenpick/proto/order"
+	pb "lichenpick/proto/settings"
+)
+
+// File polls a list file. A file that cannot be read whole is a failed call: what was listed stands. Whoever writes
+// it should write another and rename it.
+type File struct {
+	Path   string
+	PollMs float64
+	Clock  clock.Clock
+}
+
+func (f *File) Run(ctx context.Context, deliver func(Update)) error {
+	var last [sha256.Size]byte
+	var version uint64
+	failed := ""
+	for {
+		text, err := os.ReadFile(f.Path)
+		var l pb.List
+		if err == nil {
+			if sum := sha256.Sum256(text); sum == last && failed == "" {
+				if err := clock.Sleep(ctx, f.Clock, f.PollMs); err != nil {
+					return nil
+				}
+				continue
+			} else {
+				last = sum
+			}
+			err = settings.Parse(f.Path, text, &l)
+		}
+		if err != nil {
+			if err.Error() != failed { // told once, not at each poll
+				failed = err.Error()
+				deliver(Update{Form: brain.Failed, Trouble: failed})
+			}
+		} else {
+			failed = ""
+			version++
+			deliver(fromFile(&l, version))
+		}
+		if err := clock.Sleep(ctx, f.Clock, f.PollMs); err != nil {
+			return nil
+		}
+	}
+}
+
+func fromFile(l *pb.List, version uint64) Update {
+	u := Update{Form: brain.Whole, AsOfMs: l.AsOfUnixMs, Version: version}
+	for _, e := range l.Servers {
+		u.Entries = append(u.Entries, Entry{Server: e.Server, Zone: e.Zone, State: brain.State(e.State), Size: e.GetSize(),
+			BornUnixMs: e.BornUnixMs})
+	}
+	return u
+}
+
+// Stream follows a source that pushes whole lists and changes over TCP, in the frames of package orders. A change
+// whose version does not follow the last is a gap: the stream is dialled anew, which brings the whole list.
+type Stream struct {
+	Address    string
+	RedialMs   float64
+	SilentMs   float64 // without a frame, the source is taken to be dead
+	FrameBytes int
+	Clock      clock.Clock
+	Network    clock.Network
+}
+
+func (s *Stream) Run(ctx context.Context, deliver func(Update)) error {
+	failed := ""
+	for ctx.Err() == nil {
+		err := s.follow(ctx, func(u Update) {
+			failed = ""
+			deliver(u)
+		})
+		if ctx.Err() == nil && err != nil && err.Error() != failed {
+			failed = err.Error()
+			deliver(Update{Form: brain.Failed, Trouble: failed})
+		}
+		if clock.Sleep(ctx, s.Clock, s.RedialMs) != nil {
+			break
+		}
+	}
+	return nil
+}
+
+// follower turns frames into updates.
+type follower struct {
+	version uint64
+	deliver func(Update)
+	gap     bool
+}
+
+func (f *follower) Listed(m *order.Listing) {
+	if f.gap {
+		return
+	}
+	u := Update{Form: brain.ListForm(m.Form), AsOfMs: m.AsOfUnixMs, Version: m.Version}
+	switch m.Form {
+	case order.Listing_FAILED:
+		u = Update{Form: brain.Failed, Trouble: "the source says that it failed"}
+	case order.Listing_CHANGE:
+		if f.version == 0 || m.Version != f.version+1 {
+			f.gap = true
+			return
+		}
+		fallthrough
+	case order.Listing_WHOLE:
+		f.version, u.Form = m.Version, brain.Whole
+		if m.Form == order.Listing_CHANGE {
+			u.Form = brain.Change
+		}
+		for _, e := range m.Entries {
+			u.Entries = append(u.Entries, Entry{Server: e.Server, Zone: e.Zone, State: brain.State(e.State), Size: e.Size,
+				BornUnixMs: e.BornUnixMs})
+		}
+	}
+	f.deliver(u)
+}
+
+var errGap = errors.New("a change does not follow the last list; dialling again for the whole one")
+
+func (s *Stream) follow(ctx context.Context, deliver func(Update)) error {
+	dialling, cancel := context.WithTimeout(ctx, time.Duration(s.SilentMs)*time.Millisecond)
+	conn, err := s.Network.Dial(dialling, netip.Addr{}, s.Address)
+	cancel()
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	end := orders.NewListEnd(orders.Limits{FrameBytes: s.FrameBytes, JoinWithin: s.SilentMs, SilentAfter: s.SilentMs}, s.Clock.Mono())
+	f := &follower{deliver: deliver}
+	buf := make([]byte, 1<<15)
+	for {
+		conn.SetReadDeadline(s.Clock.Wall().Add(time.Duration(s.SilentMs) * time.Millisecond))
+		n, err := conn.Read(buf)
+		end.Feed(s.Clock.Mono(), buf[:n])
+		for end.Next(f) {
+		}
+		switch {
+		case f.gap:
+			return errGap
+		case end.Ended() != nil:
+			return end.Ended()
+		case err != nil:
+			return err
+		}
+	}
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -57,7 +57,7 @@
 // Parse is Load for a text at hand; the name stands in errors.
 func Parse(name string, text []byte, into proto.Message) error {
 	if err := prototext.Unmarshal(text, into); err != nil {
-		return located(name, err)
+		return located(name, text, err)
 	}
 	f := &file{name: name, text: text}
 	f.nodes, _ = parser.Parse(text) // only for places; the text is well formed by now
@@ -82,11 +82,13 @@
 	unknown = regexp.MustCompile(`^unknown field: (.*)$`)
 )
 
-func located(name string, err error) error {
+func located(name string, in []byte, err error) error {
 	text := strings.ReplaceAll(strings.ReplaceAll(err.Error(), "\u00a0", " "), "\n", " ")
 	m := place.FindStringSubmatch(text)
-	if m == nil {
-		return &Error{File: name, What: strings.TrimPrefix(text, "proto: ")}
+	if m == nil { // the library names no place where the text ends too early
+		end := strings.TrimRight(string(in), " \t\r\n")
+		return &Error{File: name, Line: 1 + strings.Count(end, "\n"), Column: 1 + len(end) - strings.LastIndexByte(end, '\n') - 1,
+			What: strings.TrimPrefix(text, "proto: ")}
 	}
 	e := &Error{File: name, What: m[3]}
 	fmt.Sscan(m[1], &e.Line)
