--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -6,7 +6,10 @@
 	"context"
 	"math"
 
+	"google.golang.org/protobuf/proto"
+
 	"lichenpick/brain"
+	pb "lichenpick/proto/settings"
 )
 
 // Entry is one server as a source names it. Times are those of the source's own clock.
@@ -68,6 +71,7 @@
 	failed  bool
 	told    bool // a first list was told
 	fresh   bool // a first list came
+	stale   bool // and was kept over a restart
 
 	Refused int // entries over the limit or of zones not known, in all
 	Doubted int // entries missing that are kept for now
@@ -91,6 +95,7 @@
 		m.failed = true
 		return
 	}
+	m.stale = u.Restored && !m.fresh
 	m.fresh = true
 	if u.Form == brain.Whole {
 		for _, h := range m.servers {
@@ -188,7 +193,9 @@
 	}
 	form := brain.Change
 	if !m.told {
-		form, m.told = brain.Whole, true
+		if form, m.told = brain.Whole, true; m.stale {
+			form = brain.Restored
+		}
 	} else if len(list) == 0 {
 		return false
 	}
@@ -221,3 +228,24 @@
 	}
 	return ready, draining, gone
 }
+
+// Kept gives what is held, to be written down for a restart, with births by this machine's date.
+func (m *Memory) Kept(wallMs uint64) *pb.List {
+	l := &pb.List{KeptUnixMs: wallMs, AsOfUnixMs: wallMs}
+	names := map[int]string{}
+	for name, n := range m.zones {
+		names[n] = name
+	}
+	for _, name := range m.order {
+		h := m.servers[name]
+		if h.State == brain.Gone {
+			continue
+		}
+		e := &pb.List_Entry{Server: name, Zone: h.Zone, State: pb.List_State(h.State), Size: proto.Float64(h.Size)}
+		if age := math.Max(m.now-h.born, 0); h.BornUnixMs > 0 && float64(wallMs) > age {
+			e.BornUnixMs = wallMs - uint64(age)
+		}
+		l.Servers = append(l.Servers, e)
+	}
+	return l
+}
--- a/internal/orders/end.go
+++ b/internal/orders/end.go
@@ -27,10 +27,10 @@
 	Answered(*order.Applied)
 }
 
-// ProxyHost is told what a planner said. Each method is one frame; sequence is the frame's.
+// ProxyHost is told what a planner said. Each method is one frame.
 type ProxyHost interface {
 	Welcomed(*order.Welcome)
-	Ordered(sequence uint64, o *order.Orders)
+	Ordered(*order.Orders)
 }
 
 // ListHost is told what a list source said.
@@ -233,7 +233,7 @@
 		if !p.body(f, m) || !p.checkOrders(f, m) {
 			return false
 		}
-		h.Ordered(f.Sequence, m)
+		h.Ordered(m)
 	case Beat:
 	default:
 		p.ended = ending(BadState, "%s", f.Kind)
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -19,11 +19,11 @@
 func (h *heard) Joined(m *order.Join) { h.told = append(h.told, "join "+m.Proxy) }
 func (h *heard) Summed(m *order.Sums) { h.told = append(h.told, fmt.Sprint("sums ", len(m.Servers))) }
 func (h *heard) Answered(m *order.Applied) {
-	h.told = append(h.told, fmt.Sprint("applied ", m.Sequence))
+	h.told = append(h.told, fmt.Sprint("applied ", m.Number))
 }
 func (h *heard) Welcomed(*order.Welcome) { h.told = append(h.told, "welcome") }
-func (h *heard) Ordered(s uint64, m *order.Orders) {
-	h.told = append(h.told, fmt.Sprint("orders ", s, " ", len(m.Orders)))
+func (h *heard) Ordered(m *order.Orders) {
+	h.told = append(h.told, fmt.Sprint("orders ", m.Number, " ", len(m.Orders)))
 }
 
 func frames(t testing.TB, messages ...any) (out []byte) {
@@ -41,7 +41,7 @@
 func TestPlannerEnd(t *testing.T) {
 	join := &order.Join{Proxy: "edge-1", UsualPerS: 5}
 	t.Run("frames come in any pieces", func(t *testing.T) {
-		all := frames(t, Join, join, Beat, nil, Sums, &order.Sums{CoversMs: 1000}, Applied, &order.Applied{Sequence: 3})
+		all := frames(t, Join, join, Beat, nil, Sums, &order.Sums{CoversMs: 1000}, Applied, &order.Applied{Number: 3})
 		for size := 1; size <= len(all); size++ {
 			e, h := NewPlannerEnd(limits, 0), &heard{}
 			for at := 0; at < len(all); at += size {
@@ -116,7 +116,7 @@
 	t.Run("a message is told whole or not at all", func(t *testing.T) {
 		bad := &order.Order{What: &order.Order_Level{Level: &order.Level{Share: math.Inf(1)}}}
 		e, h := NewProxyEnd(limits, 0), &heard{}
-		e.Feed(0, frames(t, Welcome, &order.Welcome{}, Orders, &order.Orders{Orders: []*order.Order{line}},
+		e.Feed(0, frames(t, Welcome, &order.Welcome{}, Orders, &order.Orders{Number: 2, Orders: []*order.Order{line}},
 			Orders, &order.Orders{Orders: []*order.Order{line, bad}}))
 		for e.Next(h) {
 		}
--- /dev/null
+++ b/internal/planner/core.go
@@ -0,0 +1,618 @@
+// Package planner is a planner without and with its sockets: Core holds the module, what the proxies were told and
+// what waits to be sent, and does no I/O; Run connects it to listeners, streams, the list source and the clock.
+package planner
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/gaissmai/bart"
+	"google.golang.org/protobuf/proto"
+
+	"lichenpick/brain"
+	"lichenpick/internal/list"
+	"lichenpick/internal/orders"
+	"lichenpick/internal/settings"
+	"lichenpick/proto/order"
+	pb "lichenpick/proto/settings"
+)
+
+const (
+	answerShare = 0.5    // part of the grace in which a withdrawal of what drains must be answered; the module takes the rest
+	lastInputs  = 4096   // inputs kept for a dump; some seconds of a large fleet
+	originMs    = 1e9    // ms of the module's clock at the start; births some days before it stay above 0, as 0 is long past
+	idlestMs    = 250.0  // ms between looks at the latest; answers and silences are noticed this late at most
+	deadMs      = 2500.0 // ms without a frame after which another process may take a proxy's name
+)
+
+// Stream is one connection of a proxy, as the core knows it.
+type Stream struct {
+	Address netip.Addr
+	Out     any // the shell's own
+
+	peer  *peer
+	ended bool
+}
+
+// Name is the proxy's, once it has joined.
+func (s *Stream) Name() string {
+	if s.peer == nil {
+		return ""
+	}
+	return s.peer.name
+}
+
+// Host carries out what the core decides. Each method is one decision.
+type Host interface {
+	Send(s *Stream, kind orders.Kind, m proto.Message)
+	End(s *Stream, why *orders.Ending)
+	Wake(at float64) // ms of the clock that Tick goes by
+}
+
+// peer is a joined proxy.
+type peer struct {
+	name        string
+	number      int // the module's
+	zone        int
+	stream      *Stream
+	incarnation uint64
+	streams     uint64
+	heard       float64
+	link        *orders.Link
+	tables      []*table         // by group; nil where this stream bound none
+	holds       []*order.Holding // by its own word, from earlier streams
+	out         map[string]bool  // withdrawals that it was told of
+	wait        *order.Orders    // decided in this look
+	cost        float64
+	must        bool // holds a withdrawal of what drains or is gone
+	messages    uint64
+	unanswered  []sent
+}
+
+// sent is a message that was not answered yet.
+type sent struct {
+	number   uint64
+	decided  float64
+	must     bool
+	receipts map[uint32]bool
+}
+
+// table is a table of the module: its lines in the order of their coming, and who is bound to it.
+type table struct {
+	number int
+	lines  []*order.Line
+	users  []*peer
+}
+
+func (t *table) find(server string) int {
+	return slices.IndexFunc(t.lines, func(l *order.Line) bool { return l.Server == server })
+}
+
+type level struct {
+	share float64
+	retry int
+	set   bool
+}
+
+type input struct {
+	at   float64
+	what string
+	m    proto.Message
+}
+
+// Counts are what happened since the start.
+type Counts struct {
+	Joins, Messages, Lines, Sums, Unheard, Shed uint64
+	Endings                                     map[orders.Reason]uint64
+}
+
+// Core is one planner. Its methods are called from one goroutine: Tick, then inputs, then Next until it says false.
+type Core struct {
+	set         *pb.Planner
+	module      *brain.Planner
+	now         float64
+	wall        time.Time
+	incarnation uint64
+	memory      *list.Memory
+	intake      *intake
+	channel     *orders.Channel[*message]
+	zones       *bart.Table[int]
+	zoneNames   map[string]int
+	listed      map[string]brain.State
+	names       map[string]*peer
+	peers       []*peer // by the module's number; nil where one left
+	free        []int
+	pending     []*peer // with orders decided in this look
+	tables      map[int]*table
+	out         map[string]bool
+	levels      []level
+	todo        []func(Host) // carried out before anything new is decided
+	wakeAt      float64
+	toldWake    float64
+	inputs      [lastInputs]input
+	nextInput   int
+	listChanged bool
+
+	Counts Counts
+	Order  *hdrhistogram.Histogram // us from a decision to its answer
+}
+
+// message is one that waits in the channel.
+type message struct {
+	to       *peer
+	m        *order.Orders
+	receipts map[uint32]bool
+}
+
+// NewCore starts a planner at a time. The incarnation tells it from earlier ones under its name.
+func NewCore(set *pb.Planner, incarnation uint64, now float64) *Core {
+	c := &Core{set: set, incarnation: incarnation, now: now, zones: &bart.Table[int]{}, zoneNames: map[string]int{},
+		listed: map[string]brain.State{}, names: map[string]*peer{}, tables: map[int]*table{}, out: map[string]bool{},
+		levels: make([]level, len(set.Groups)), toldWake: math.Inf(1), Order: hdrhistogram.New(1, 600e6, 3)}
+	c.Counts.Endings = map[orders.Reason]uint64{}
+	var names []string
+	for n, z := range set.Zones {
+		names = append(names, z.Name)
+		c.zoneNames[z.Name] = n
+		for _, p := range z.Prefixes {
+			c.zones.Insert(netip.MustParsePrefix(p).Masked(), n)
+		}
+	}
+	c.memory = list.NewMemory(names, int(set.List.GetMostServers()))
+	c.intake = newIntake(settings.Ms(set.Reports.Every), settings.PerS(set.Reports.Intake), int(set.Reports.GetMostPending()), now)
+	c.channel = orders.NewChannel[*message](orders.ChannelLimits{LinesPerS: settings.PerS(set.Channel.Lines),
+		HeadLines: set.Channel.GetHeadLines(), MostWaiting: float64(set.Channel.GetMostWaiting()),
+		MostMessages: int(set.Channel.GetMostMessages()), SpanMs: settings.Ms(set.Channel.MessageSpan)})
+	c.module = brain.New(moduleSettings(set), int64(set.GetSeed()))
+	c.Tick(now, time.Time{})
+	return c
+}
+
+var repeats = map[pb.Repeat]brain.Repeat{pb.Repeat_NON_RETRIABLE: brain.NonRetriable, pb.Repeat_DEDUPED: brain.Deduped,
+	pb.Repeat_RETRIABLE: brain.Retriable}
+
+// RetryMode gives the module's word for a retry of the settings.
+func RetryMode(r pb.Retry) int {
+	return map[pb.Retry]int{pb.Retry_NEVER: brain.RetryNever, pb.Retry_AFTER_PROOF: brain.RetryProven,
+		pb.Retry_ONCE: brain.RetryOnce, pb.Retry_TWICE: brain.RetryTwice}[r]
+}
+
+func moduleSettings(set *pb.Planner) brain.Settings {
+	s := brain.Settings{Zones: len(set.Zones), DefaultRetry: RetryMode(set.DefaultRetry), CanAdmit: true,
+		ChannelRate: settings.PerS(set.Channel.Lines), HeadLines: set.Channel.GetHeadLines(),
+		MostWaiting: float64(set.Channel.GetMostWaiting()), MostMessages: int(set.Channel.GetMostMessages()),
+		MessageSpanMs: settings.Ms(set.Channel.MessageSpan), LongestWayMs: settings.Ms(set.Channel.LongestWay),
+		ReportEveryMs: settings.Ms(set.Reports.Every), ColdShare: set.Servers.GetColdShare(),
+		WarmUpMs: settings.Ms(set.Servers.WarmUp), GraceMs: settings.Ms(set.Servers.DrainGrace),
+		FallMs: settings.Ms(set.Servers.FallWindow), CrossPrice: set.GetCrossPrice(), Proxies: int(set.GetProxies()),
+		Planners: int(set.GetPlanners()), LeastConns: float64(set.Servers.GetLeastConnections()),
+		IdleMs: settings.Ms(set.Servers.ConnectionIdle)}
+	for _, g := range set.Groups {
+		s.Groups = append(s.Groups, brain.TrafficGroup{BudgetMs: settings.Ms(g.LatencyBudget), Utility: g.GetUtility(),
+			Repeat: repeats[g.Repeat], OnlyZone: g.OnlyZone})
+	}
+	return s
+}
+
+// Tick tells the time, by a clock that never jumps and by the date. What is decided until the next one leaves in
+// one message a proxy.
+func (c *Core) Tick(now float64, wall time.Time) {
+	c.now, c.wall = now, wall
+	c.module.Tick(originMs + now)
+	c.memory.Tick(originMs + now)
+	c.intake.tick(now)
+}
+
+func (c *Core) keep(what string, m proto.Message) {
+	c.inputs[c.nextInput%lastInputs] = input{c.now, what, m}
+	c.nextInput++
+}
+
+// Dump writes the last inputs, oldest first, a line each.
+func (c *Core) Dump(w io.Writer) {
+	for n := max(0, c.nextInput-lastInputs); n < c.nextInput; n++ {
+		in := c.inputs[n%lastInputs]
+		text := fmt.Sprintf("%.3f %s", in.at, in.what)
+		if in.m != nil {
+			text += " " + strings.Join(strings.Fields(fmt.Sprint(in.m)), " ")
+		}
+		fmt.Fprintln(w, text)
+	}
+}
+
+// Listed takes in a word of the list source.
+func (c *Core) Listed(u list.Update) {
+	c.keep(fmt.Sprintf("list form=%d version=%d as_of=%d entries=%d %s", u.Form, u.Version, u.AsOfMs, len(u.Entries), u.Trouble), nil)
+	c.memory.Told(u)
+}
+
+// Joined takes in a proxy's first frame.
+func (c *Core) Joined(s *Stream, j *order.Join) {
+	c.keep("join", j)
+	if s.ended {
+		return
+	}
+	zone, known := c.zoneNames[j.Zone]
+	if j.Zone == "" {
+		zone, known = c.zones.Lookup(s.Address.Unmap())
+	}
+	switch {
+	case !known:
+		c.end(s, &orders.Ending{Reason: orders.Strange, Detail: fmt.Sprintf("no zone %q, and none of %s", j.Zone, s.Address)})
+		return
+	case int(j.Groups) != len(c.set.Groups):
+		c.end(s, &orders.Ending{Reason: orders.Strange, Detail: fmt.Sprintf("%d traffic groups; %d here", j.Groups, len(c.set.Groups))})
+		return
+	}
+	if old := c.names[j.Proxy]; old != nil {
+		// The same process with a newer stream has lost the older one, even if nobody told us. Another process may
+		// have the name once the first is silent: two that are alive would otherwise throw each other out for ever.
+		newer := old.incarnation == j.Incarnation && j.Stream > old.streams
+		if !newer && c.now-old.heard < deadMs {
+			c.end(s, &orders.Ending{Reason: orders.Taken, Detail: fmt.Sprintf("%q is joined from %s", j.Proxy, old.stream.Address)})
+			return
+		}
+		c.end(old.stream, &orders.Ending{Reason: orders.Replaced, Detail: fmt.Sprintf("by a stream from %s", s.Address)})
+	}
+	p := &peer{name: j.Proxy, zone: zone, stream: s, incarnation: j.Incarnation, streams: j.Stream, heard: c.now,
+		link: &orders.Link{}, tables: make([]*table, len(c.levels)), holds: j.Holds, out: map[string]bool{}}
+	if n := len(c.free); n > 0 {
+		p.number, c.free = c.free[n-1], c.free[:n-1]
+		c.peers[p.number] = p
+	} else {
+		p.number, c.peers = len(c.peers), append(c.peers, p)
+	}
+	s.peer, c.names[p.name] = p, p
+	c.Counts.Joins++
+	w := &order.Welcome{Planner: c.set.Name, Incarnation: c.incarnation,
+		ReportEveryMs: uint32(settings.Ms(c.set.Reports.Every))}
+	// What is withdrawn binds from the first moment on, also for tables that others gave it.
+	for _, h := range p.holds {
+		for _, l := range h.Lines {
+			if c.out[l.Server] && !p.out[l.Server] {
+				p.out[l.Server], w.Withdrawn = true, append(w.Withdrawn, l.Server)
+			}
+		}
+	}
+	p.unanswered = append(p.unanswered, sent{decided: c.now, must: len(w.Withdrawn) > 0})
+	c.module.Joined(p.number, zone, j.UsualPerS)
+	c.todo = append(c.todo, func(h Host) { h.Send(s, orders.Welcome, w) })
+}
+
+// Lost takes in that a stream ended, by whomever.
+func (c *Core) Lost(s *Stream, why *orders.Ending) {
+	c.keep("lost "+s.Name()+" "+why.Error(), nil)
+	if !s.ended {
+		c.Counts.Endings[why.Reason]++
+	}
+	c.leave(s)
+}
+
+// end ends a stream from this side.
+func (c *Core) end(s *Stream, why *orders.Ending) {
+	if s.ended {
+		return
+	}
+	c.Counts.Endings[why.Reason]++
+	c.leave(s)
+	c.todo = append(c.todo, func(h Host) { h.End(s, why) })
+}
+
+func (c *Core) leave(s *Stream) {
+	s.ended = true
+	p := s.peer
+	if p == nil || c.names[p.name] != p {
+		return
+	}
+	delete(c.names, p.name)
+	c.peers[p.number], c.free = nil, append(c.free, p.number)
+	c.channel.Drop(p.link)
+	c.intake.forget(p, len(c.levels))
+	for _, t := range p.tables {
+		if t != nil {
+			t.users = slices.DeleteFunc(t.users, func(q *peer) bool { return q == p })
+		}
+	}
+	c.pending = slices.DeleteFunc(c.pending, func(q *peer) bool { return q == p })
+	c.module.Left(p.number)
+}
+
+// Beat takes in that a stream is alive.
+func (c *Core) Beat(s *Stream) {
+	if s.peer != nil {
+		s.peer.heard = c.now
+	}
+}
+
+// Summed takes in what a proxy met. Sums of servers that were never listed are not heard.
+func (c *Core) Summed(s *Stream, m *order.Sums) {
+	c.keep("sums "+s.Name(), m)
+	p := s.peer
+	if p == nil || s.ended {
+		return
+	}
+	p.heard = c.now
+	for _, x := range m.Servers {
+		if _, known := c.listed[x.Server]; !known || x.Tries == 0 {
+			c.Counts.Unheard++
+			continue
+		}
+		c.Counts.Sums++
+		c.intake.add(serverKey{x.Server, p.zone}, int(x.Tries), int(x.Dropped), x.LatencyMs)
+	}
+	for _, x := range m.Groups {
+		if int(x.Group) < len(c.levels) {
+			c.intake.add(usageKey{p, int(x.Group)}, int(x.Came), int(x.Dropped), 0)
+		}
+	}
+}
+
+// Answered takes in that a proxy has applied a message and all before.
+func (c *Core) Answered(s *Stream, m *order.Applied) {
+	c.keep("applied "+s.Name(), m)
+	p := s.peer
+	if p == nil || s.ended {
+		return
+	}
+	p.heard = c.now
+	for len(p.unanswered) > 0 && p.unanswered[0].number <= m.Number {
+		u := p.unanswered[0]
+		p.unanswered = p.unanswered[1:]
+		if u.number > 0 {
+			c.Order.RecordValue(max(int64((c.now-u.decided)*1000), 1))
+		}
+		for _, r := range m.Receipts {
+			if u.receipts[r] {
+				c.module.Applied(p.number, int(r), c.now-u.decided)
+			}
+		}
+	}
+}
+
+// Next carries out at most one decision, and says whether it did.
+func (c *Core) Next(h Host) bool {
+	if len(c.todo) > 0 {
+		act := c.todo[0]
+		c.todo = c.todo[1:]
+		act(h)
+		return true
+	}
+	if c.memory.Next(toModule{c}) {
+		return true
+	}
+	if t := c.intake.next(); t != nil {
+		c.hear(t)
+		return true
+	}
+	if c.module.Next(orderer{c}) {
+		return true
+	}
+	if len(c.pending) > 0 {
+		p := c.pending[0]
+		c.pending = c.pending[1:]
+		c.queue(p)
+		return true
+	}
+	if m, ok := c.channel.Next(c.now); ok {
+		c.send(h, m.What, m.Decided)
+		return true
+	}
+	for _, p := range c.peers {
+		if p != nil && len(p.unanswered) > 0 && c.now >= c.answerBy(p) {
+			c.end(p.stream, &orders.Ending{Reason: orders.NoAnswer, Detail: fmt.Sprintf("message %d of %d, decided %.0f ms ago",
+				p.unanswered[0].number, p.messages, c.now-p.unanswered[0].decided)})
+			return true
+		}
+	}
+	return c.wake(h)
+}
+
+// answerBy is when a proxy must have answered: what drains must not be sent anything after the grace, so that a
+// proxy of which this is not known is better without a planner, and dials again.
+func (c *Core) answerBy(p *peer) float64 {
+	by := p.unanswered[0].decided + settings.Ms(c.set.Streams.SilentAfter)
+	for _, u := range p.unanswered {
+		if u.must {
+			by = math.Min(by, u.decided+answerShare*settings.Ms(c.set.Servers.DrainGrace))
+		}
+	}
+	return by
+}
+
+func (c *Core) wake(h Host) bool {
+	due := math.Min(c.wakeAt, math.Min(c.intake.due(), c.memory.Due()-originMs))
+	if c.channel.Messages() > 0 {
+		due = math.Min(due, c.channel.Due())
+	}
+	due = math.Min(math.Max(due, c.now), c.now+idlestMs)
+	if due == c.toldWake {
+		return false
+	}
+	c.toldWake = due
+	h.Wake(due)
+	return true
+}
+
+func (c *Core) hear(t *tally) {
+	switch k := t.key.(type) {
+	case serverKey:
+		mean := 0.0
+		if good := t.count - t.failed; good > 0 {
+			mean = t.latency / float64(good)
+		}
+		c.module.Heard(k.server, k.zone, t.count, t.failed, mean, t.covers)
+	case usageKey:
+		c.module.Usage(k.proxy.number, k.group, t.count, t.failed, t.covers)
+	}
+	c.Counts.Shed = uint64(c.intake.dropped)
+}
+
+// queue puts what was decided for a proxy in this look into the channel, as one message.
+func (c *Core) queue(p *peer) {
+	m, must, cost := p.wait, p.must, p.cost
+	p.wait, p.must, p.cost = nil, false, 0
+	p.messages++
+	m.Number, m.Lines = p.messages, cost+c.set.Channel.GetHeadLines()
+	receipts := map[uint32]bool{}
+	for _, o := range m.Orders {
+		if r, ok := o.What.(*order.Order_Receipt); ok {
+			receipts[r.Receipt] = true
+		}
+	}
+	if why := c.channel.Put(c.now, p.link, cost, &message{p, m, receipts}); why != nil {
+		c.end(p.stream, why)
+		return
+	}
+	p.unanswered = append(p.unanswered, sent{m.Number, c.now, must, receipts})
+}
+
+func (c *Core) send(h Host, m *message, decided float64) {
+	c.Counts.Messages, c.Counts.Lines = c.Counts.Messages+1, c.Counts.Lines+uint64(m.m.Lines)
+	h.Send(m.to.stream, orders.Orders, m.m)
+}
+
+// order adds an order to what is decided for a proxy in this look.
+func (c *Core) order(p *peer, lines float64, o *order.Order) {
+	if p.wait == nil {
+		p.wait = &order.Orders{Planner: c.set.Name, Incarnation: c.incarnation, DecidedUnixUs: uint64(max(c.wall.UnixMicro(), 0))}
+		c.pending = append(c.pending, p)
+	}
+	p.wait.Orders, p.cost = append(p.wait.Orders, o), p.cost+lines
+}
+
+// holding says whether a proxy goes by a table with a server: one bound by this stream, or for groups that are
+// not, one that it brought along.
+func (c *Core) holding(p *peer, server string) bool {
+	bare := false
+	for _, t := range p.tables {
+		if t == nil {
+			bare = true
+		} else if t.find(server) >= 0 {
+			return true
+		}
+	}
+	return bare && slices.ContainsFunc(p.holds, func(h *order.Holding) bool {
+		return slices.ContainsFunc(h.Lines, func(l *order.Line) bool { return l.Server == server })
+	})
+}
+
+func (c *Core) withdraw(p *peer, server string, out bool) {
+	c.order(p, 1, &order.Order{What: &order.Order_Withdraw{Withdraw: &order.Withdraw{Server: server, Out: out}}})
+	p.must = p.must || out && c.listed[server] != brain.Ready
+	if p.out[server] = out; !out {
+		delete(p.out, server)
+	}
+}
+
+// toModule passes the list on.
+type toModule struct{ c *Core }
+
+func (t toModule) Listed(form brain.ListForm, entries []brain.Entry) {
+	for _, e := range entries {
+		t.c.listed[e.Server] = e.State
+	}
+	t.c.listChanged = t.c.listChanged || form != brain.Failed
+	t.c.module.Listed(form, entries)
+}
+
+// orderer carries out the module's decisions: who holds what, and what is to be told to whom.
+type orderer struct{ c *Core }
+
+func (o orderer) table(number int) *table {
+	t := o.c.tables[number]
+	if t == nil {
+		t = &table{number: number}
+		o.c.tables[number] = t
+	}
+	return t
+}
+
+func (o orderer) SetLine(number int, server string, weight float64) {
+	t := o.table(number)
+	at := t.find(server)
+	switch {
+	case weight <= 0 && at >= 0:
+		t.lines = slices.Delete(t.lines, at, at+1)
+	case at >= 0:
+		t.lines[at] = &order.Line{Server: server, Weight: weight}
+	case weight > 0:
+		t.lines = append(t.lines, &order.Line{Server: server, Weight: weight})
+	}
+	for _, p := range t.users {
+		// A withdrawal holds for all joined proxies; one that held no table with the server was not told.
+		if weight > 0 && o.c.out[server] && !p.out[server] {
+			o.c.withdraw(p, server, true)
+		}
+		o.c.order(p, 1, &order.Order{What: &order.Order_Line{Line: &order.SetLine{Table: uint32(number),
+			Line: &order.Line{Server: server, Weight: weight}}}})
+	}
+}
+
+func (o orderer) Bind(proxy, number int, groups []int) {
+	p, t := o.c.peers[proxy], o.table(number)
+	if p == nil {
+		return
+	}
+	b := &order.Bind{Table: uint32(number), Lines: slices.Clone(t.lines)}
+	for _, g := range groups {
+		b.Groups = append(b.Groups, uint32(g))
+		if old := p.tables[g]; old != nil {
+			old.users = slices.DeleteFunc(old.users, func(q *peer) bool { return q == p })
+		}
+		p.tables[g] = t
+	}
+	if !slices.Contains(t.users, p) {
+		t.users = append(t.users, p)
+	}
+	for _, l := range t.lines {
+		if o.c.out[l.Server] {
+			b.Withdrawn, p.out[l.Server] = append(b.Withdrawn, l.Server), true
+		}
+	}
+	for g, l := range o.c.levels {
+		if l.set {
+			b.Levels = append(b.Levels, &order.Level{Group: uint32(g), Share: l.share, Retry: uint32(l.retry)})
+		}
+	}
+	o.c.order(p, float64(1+len(b.Lines)+len(b.Withdrawn)+len(b.Levels)), &order.Order{What: &order.Order_Bind{Bind: b}})
+}
+
+func (o orderer) Withdraw(server string, out bool) {
+	if o.c.out[server] = out; !out {
+		delete(o.c.out, server)
+	}
+	for _, p := range o.c.peers {
+		if p != nil && (out && o.c.holding(p, server) || !out && p.out[server]) {
+			o.c.withdraw(p, server, out)
+		}
+	}
+}
+
+func (o orderer) Admit(number, group int, share float64, retry int) {
+	if number != brain.AllTables {
+		panic("the module set the level of one table, which the stream cannot say")
+	}
+	o.c.levels[group] = level{share, retry, true}
+	for _, p := range o.c.peers {
+		if p != nil {
+			o.c.order(p, 1, &order.Order{What: &order.Order_Level{Level: &order.Level{Group: uint32(group), Share: share, Retry: uint32(retry)}}})
+		}
+	}
+}
+
+func (o orderer) Receipt(number int) {
+	for _, p := range o.c.pending {
+		o.c.order(p, 1, &order.Order{What: &order.Order_Receipt{Receipt: uint32(number)}})
+	}
+}
+
+// Follow is for lists that come to those who ask only; sources here push or poll by themselves.
+func (o orderer) Follow() {}
+
+func (o orderer) Wake(inMs float64) { o.c.wakeAt = o.c.now + inMs }
--- /dev/null
+++ b/internal/planner/core_test.go
@@ -0,0 +1,308 @@
+package planner
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"lichenpick/brain"
+	"lichenpick/internal/list"
+	"lichenpick/internal/orders"
+	"lichenpick/internal/settings"
+	"lichenpick/proto/order"
+	pb "lichenpick/proto/settings"
+)
+
+const file = `name: "p" listen: "127.0.0.1:0"
+zones { name: "a" prefixes: "127.1.0.0/16" } zones { name: "b" prefixes: "127.2.0.0/16" }
+groups { name: "check" latency_budget: "600ms" expiry: "1.5s" repeat: RETRIABLE }
+groups { name: "charge" latency_budget: "800ms" expiry: "2.5s" }
+list { file { path: "x" } }
+`
+
+func planned(t testing.TB, more string) *pb.Planner {
+	t.Helper()
+	set := &pb.Planner{}
+	if err := settings.Parse("test", []byte(file+more), set); err != nil {
+		t.Fatal(err)
+	}
+	return set
+}
+
+// wire is a host that keeps what each stream was sent, and how it ended.
+type wire struct {
+	*Core
+	sent  map[*Stream][]proto.Message
+	ended map[*Stream]orders.Reason
+	deaf  map[*Stream]bool // answers nothing
+}
+
+func begin(t testing.TB, more string, servers int) *wire {
+	w := &wire{Core: NewCore(planned(t, more), 1, 0), sent: map[*Stream][]proto.Message{}, ended: map[*Stream]orders.Reason{}, deaf: map[*Stream]bool{}}
+	w.Listed(listed(servers))
+	w.at(0)
+	return w
+}
+
+func listed(n int) list.Update {
+	u := list.Update{Form: brain.Whole, AsOfMs: 1e12}
+	for i := range n {
+		u.Entries = append(u.Entries, list.Entry{Server: fmt.Sprint("s", i), Zone: string("ab"[i%2]), Size: 1})
+	}
+	return u
+}
+
+func (w *wire) Send(s *Stream, _ orders.Kind, m proto.Message) { w.sent[s] = append(w.sent[s], m) }
+func (w *wire) End(s *Stream, why *orders.Ending)              { w.ended[s] = why.Reason }
+func (w *wire) Wake(float64)                                   {}
+
+func (w *wire) at(now float64) {
+	w.Tick(now, time.UnixMilli(int64(1e12+now)))
+	for n := 0; w.Next(w); n++ {
+		if n > 1e6 {
+			panic("decisions without end")
+		}
+	}
+}
+
+// run lets time pass in steps of 50 ms; proxies that are not deaf answer what they are sent.
+func (w *wire) run(from, to float64) {
+	for now := from; now <= to; now += 50 {
+		for s := range w.sent {
+			if w.ended[s] == "" {
+				w.Beat(s)
+				if !w.deaf[s] {
+					w.answer(s)
+				}
+			}
+		}
+		w.at(now)
+	}
+}
+
+func (w *wire) answer(s *Stream) {
+	for _, m := range w.sent[s] {
+		a := &order.Applied{}
+		if o, ok := m.(*order.Orders); ok {
+			a.Number = o.Number
+			for _, x := range o.Orders {
+				if r, ok := x.What.(*order.Order_Receipt); ok {
+					a.Receipts = append(a.Receipts, r.Receipt)
+				}
+			}
+		}
+		w.Answered(s, a)
+	}
+}
+
+func (w *wire) join(name string, incarnation, streams uint64, holds ...string) *Stream {
+	s := &Stream{Address: netip.MustParseAddr("127.1.0.9")}
+	j := &order.Join{Proxy: name, UsualPerS: 10, Incarnation: incarnation, Stream: streams, Groups: 2}
+	h := &order.Holding{Groups: []uint32{0, 1}}
+	for _, server := range holds {
+		h.Lines = append(h.Lines, &order.Line{Server: server, Weight: 1})
+	}
+	j.Holds = []*order.Holding{h}
+	w.sent[s] = nil
+	w.Joined(s, j)
+	return s
+}
+
+// told says whether a stream was told something that the function finds, and in which message.
+func (w *wire) told(s *Stream, is func(o *order.Order) bool) int {
+	for n, m := range w.sent[s] {
+		if o, ok := m.(*order.Orders); ok {
+			for _, x := range o.Orders {
+				if is(x) {
+					return n
+				}
+			}
+		}
+	}
+	return -1
+}
+
+func bound(o *order.Order) bool { return o.GetBind() != nil }
+
+func out(server string) func(*order.Order) bool {
+	return func(o *order.Order) bool { w := o.GetWithdraw(); return w != nil && w.Server == server && w.Out }
+}
+
+func state(server string, s brain.State) list.Update {
+	return list.Update{Form: brain.Change, Entries: []list.Entry{{Server: server, Zone: "a", State: s, Size: 1}}}
+}
+
+func TestCore(t *testing.T) {
+	t.Run("a proxy that joins is welcomed and bound", func(t *testing.T) {
+		w := begin(t, "proxies: 4", 6)
+		s := w.join("x", 1, 1)
+		w.run(0, 2000)
+		if _, ok := w.sent[s][0].(*order.Welcome); !ok || w.told(s, bound) < 0 || w.ended[s] != "" {
+			t.Errorf("%v, ended %q", w.sent[s], w.ended[s])
+		}
+	})
+	t.Run("a drain reaches every proxy that holds the server", func(t *testing.T) {
+		w := begin(t, "proxies: 4", 4)
+		a, b := w.join("x", 1, 1), w.join("y", 2, 1)
+		w.run(0, 5000)
+		w.Listed(state("s0", brain.Draining))
+		w.run(5050, 8000)
+		if w.told(a, out("s0")) < 0 || w.told(b, out("s0")) < 0 {
+			t.Error("not withdrawn")
+		}
+	})
+	t.Run("what is withdrawn binds a proxy from its welcome on", func(t *testing.T) {
+		w := begin(t, "proxies: 4", 4)
+		a := w.join("x", 1, 1)
+		w.run(0, 5000)
+		w.Listed(state("s0", brain.Draining))
+		w.run(5050, 7000)
+		b := w.join("y", 2, 1, "s0", "s1")
+		w.at(7050)
+		if m, ok := w.sent[b][0].(*order.Welcome); !ok || fmt.Sprint(m.Withdrawn) != "[s0]" || w.ended[a] != "" {
+			t.Errorf("%v", w.sent[b])
+		}
+	})
+	t.Run("a proxy that does not answer a drain loses its stream within the grace", func(t *testing.T) {
+		w := begin(t, "proxies: 4", 4)
+		a := w.join("x", 1, 1)
+		w.run(0, 5000)
+		w.deaf[a] = true
+		w.Listed(state("s0", brain.Draining))
+		w.run(5050, 8000)
+		if w.ended[a] != orders.NoAnswer {
+			t.Errorf("ended %q after the grace of 3 s", w.ended[a])
+		}
+		if w.deaf[a] = false; len(w.names) != 0 || w.channel.Messages() != 0 {
+			t.Errorf("%d joined, %d messages wait", len(w.names), w.channel.Messages())
+		}
+	})
+	t.Run("but not for orders that can wait", func(t *testing.T) {
+		w := begin(t, "proxies: 4", 4)
+		a := w.join("x", 1, 1)
+		w.run(0, 2000)
+		w.deaf[a] = true
+		w.run(2050, 4000)
+		if w.ended[a] != "" {
+			t.Errorf("ended %q", w.ended[a])
+		}
+	})
+	t.Run("two streams that claim one proxy", func(t *testing.T) {
+		w := begin(t, "proxies: 4", 4)
+		a := w.join("x", 1, 1)
+		w.run(0, 1000)
+		other := w.join("x", 2, 1) // another process, while the first is alive
+		w.run(1050, 1100)
+		if w.ended[other] != orders.Taken || w.ended[a] != "" {
+			t.Errorf("%q, %q", w.ended[other], w.ended[a])
+		}
+		again := w.join("x", 1, 2) // the same process has dialled again
+		w.run(1150, 2000)
+		if w.ended[a] != orders.Replaced || w.ended[again] != "" || w.told(again, bound) < 0 {
+			t.Errorf("%q, %q", w.ended[a], w.ended[again])
+		}
+		late := w.join("x", 1, 1) // a dial that was under way for long
+		w.run(2050, 2100)
+		if w.ended[late] != orders.Taken || w.ended[again] != "" {
+			t.Errorf("%q, %q", w.ended[late], w.ended[again])
+		}
+		w.Tick(9000, time.Time{}) // the first is silent by now
+		next := w.join("x", 3, 1)
+		w.at(9000)
+		if w.ended[next] != "" {
+			t.Errorf("%q", w.ended[next])
+		}
+	})
+	t.Run("a proxy of no zone, or of another table of groups, is sent away", func(t *testing.T) {
+		w := begin(t, "proxies: 4", 4)
+		s := &Stream{Address: netip.MustParseAddr("10.0.0.1")}
+		w.Joined(s, &order.Join{Proxy: "x", Groups: 2})
+		u := &Stream{Address: netip.MustParseAddr("127.2.0.1")}
+		w.Joined(u, &order.Join{Proxy: "y", Groups: 3})
+		w.at(0)
+		if w.ended[s] != orders.Strange || w.ended[u] != orders.Strange {
+			t.Errorf("%q %q", w.ended[s], w.ended[u])
+		}
+	})
+	t.Run("200 proxies that join at once keep the queue short, and all are bound", func(t *testing.T) {
+		w := begin(t, "proxies: 200", 10)
+		var all []*Stream
+		for n := range 200 {
+			all = append(all, w.join(fmt.Sprint("x", n), 1, 1))
+		}
+		w.run(0, 15000)
+		for _, s := range all {
+			if w.told(s, bound) < 0 || w.ended[s] != "" {
+				t.Fatalf("%v, ended %q", w.told(s, bound), w.ended[s])
+			}
+		}
+		if peak := w.channel.Peak(); peak > 3500 {
+			t.Errorf("%g lines waited", peak)
+		}
+	})
+	t.Run("a report about a server already gone changes nothing, one about a server never listed is not heard", func(t *testing.T) {
+		w := begin(t, "proxies: 4", 4)
+		a := w.join("x", 1, 1)
+		w.run(0, 3000)
+		w.Listed(state("s0", brain.Gone))
+		w.run(3050, 5000)
+		n := len(w.sent[a])
+		w.Summed(a, &order.Sums{CoversMs: 1000, Servers: []*order.ServerSum{{Server: "s0", Tries: 50, LatencyMs: 5}, {Server: "odd", Tries: 9}}})
+		w.run(5050, 6500)
+		for _, m := range w.sent[a][n:] {
+			for _, o := range m.(*order.Orders).Orders {
+				if l := o.GetLine(); l != nil && l.Line.Server == "s0" && l.Line.Weight > 0 {
+					t.Errorf("sent again: %v", o)
+				}
+			}
+		}
+		if w.Counts.Unheard != 1 || w.told(a, out("s0")) < 0 {
+			t.Errorf("%d unheard", w.Counts.Unheard)
+		}
+	})
+	t.Run("the last inputs can be written out", func(t *testing.T) {
+		w := begin(t, "proxies: 4", 4)
+		a := w.join("x", 1, 1)
+		for range lastInputs {
+			w.Summed(a, &order.Sums{CoversMs: 7})
+		}
+		var b bytes.Buffer
+		if w.Dump(&b); strings.Count(b.String(), "\n") != lastInputs || !strings.Contains(b.String(), "sums x covers_ms:7") {
+			t.Errorf("%.300s", b.String())
+		}
+	})
+}
+
+func TestIntake(t *testing.T) {
+	a, b := serverKey{"a", 0}, serverKey{"b", 0}
+	t.Run("one line a server and period, oldest first, at the stated rate", func(t *testing.T) {
+		in := newIntake(1000, 1, 10, 0)
+		in.add(a, 5, 1, 10)
+		in.add(b, 1, 0, 10)
+		in.add(a, 5, 0, 20)
+		in.tick(1000)
+		l := in.next()
+		if l.key != any(a) || l.count != 10 || l.failed != 1 || l.latency != 140 || l.covers != 1000 || in.next() != nil {
+			t.Errorf("%+v", l)
+		}
+		in.add(b, 2, 0, 10)
+		in.tick(2000)
+		if l = in.next(); l.key != any(b) || l.count != 3 || l.covers != 2000 {
+			t.Errorf("%+v", l)
+		}
+	})
+	t.Run("when too many wait the oldest is shed and counted", func(t *testing.T) {
+		in := newIntake(1000, 1, 1, 0)
+		in.add(a, 1, 0, 1)
+		in.add(b, 1, 0, 1)
+		in.tick(1000)
+		if l := in.next(); l.key != any(b) || in.dropped != 1 {
+			t.Errorf("%+v, %d", l, in.dropped)
+		}
+	})
+}
