--- a/cmd/lichenpick/settings.go
+++ b/cmd/lichenpick/settings.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"lichenpick/internal/settings"
+	"lichenpick/proto/script"
 	pb "lichenpick/proto/settings"
 )
 
@@ -19,6 +20,7 @@
 	"proxy":   func() proto.Message { return &pb.Proxy{} },
 	"server":  func() proto.Message { return &pb.Server{} },
 	"list":    func() proto.Message { return &pb.List{} },
+	"script":  func() proto.Message { return &script.Script{} },
 }
 
 func kindNames() string {
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -115,7 +115,7 @@
 // Core is one planner. Its methods are called from one goroutine: Tick, then inputs, then Next until it says false.
 type Core struct {
 	set         *pb.Planner
-	module      *brain.Planner
+	module      Decider
 	now         float64
 	wall        time.Time
 	incarnation uint64
@@ -150,9 +150,24 @@
 	receipts map[uint32]bool
 }
 
+// Decider is what decides: the module, or in rehearsals a baseline. Its methods are the module's.
+type Decider interface {
+	Tick(now float64)
+	Listed(form brain.ListForm, list []brain.Entry)
+	Joined(id, zone int, usual float64)
+	Left(id int)
+	Heard(server string, zone, count, failed int, latency, covers float64)
+	Usage(id, group, count, failed int, covers float64)
+	Applied(id, number int, took float64)
+	Next(h brain.Host) bool
+}
+
+// NewModule makes the module for some settings.
+func NewModule(set *pb.Planner) Decider { return brain.New(moduleSettings(set), int64(set.GetSeed())) }
+
 // NewCore starts a planner at a time. The incarnation tells it from earlier ones under its name.
-func NewCore(set *pb.Planner, incarnation uint64, now float64) *Core {
-	c := &Core{set: set, incarnation: incarnation, now: now, zones: &bart.Table[int]{}, zoneNames: map[string]int{},
+func NewCore(set *pb.Planner, module Decider, incarnation uint64, now float64) *Core {
+	c := &Core{module: module, set: set, incarnation: incarnation, now: now, zones: &bart.Table[int]{}, zoneNames: map[string]int{},
 		listed: map[string]brain.State{}, names: map[string]*peer{}, tables: map[int]*table{}, out: map[string]bool{},
 		levels: make([]level, len(set.Groups)), toldWake: math.Inf(1), Order: hdrhistogram.New(1, 600e6, 3)}
 	c.Counts.Endings = map[orders.Reason]uint64{}
@@ -169,7 +184,6 @@
 	c.channel = orders.NewChannel[*message](orders.ChannelLimits{LinesPerS: settings.PerS(set.Channel.Lines),
 		HeadLines: set.Channel.GetHeadLines(), MostWaiting: float64(set.Channel.GetMostWaiting()),
 		MostMessages: int(set.Channel.GetMostMessages()), SpanMs: settings.Ms(set.Channel.MessageSpan)})
-	c.module = brain.New(moduleSettings(set), int64(set.GetSeed()))
 	c.Tick(now, time.Time{})
 	return c
 }
--- a/internal/planner/core_test.go
+++ b/internal/planner/core_test.go
@@ -43,7 +43,8 @@
 }
 
 func begin(t testing.TB, more string, servers int) *wire {
-	w := &wire{Core: NewCore(planned(t, more), 1, 0), sent: map[*Stream][]proto.Message{}, ended: map[*Stream]orders.Reason{}, deaf: map[*Stream]bool{}}
+	set := planned(t, more)
+	w := &wire{Core: NewCore(set, NewModule(set), 1, 0), sent: map[*Stream][]proto.Message{}, ended: map[*Stream]orders.Reason{}, deaf: map[*Stream]bool{}}
 	w.Listed(listed(servers))
 	w.at(0)
 	return w
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -46,6 +46,8 @@
 	Source   list.Source
 	Log      *slog.Logger
 	Ready    func(addr net.Addr) // called once it listens; may be nil
+	Decider  Decider             // nil: the module
+	Status   func(*Status)       // told at the end what the planner thought of itself; may be nil
 }
 
 // Planner is a running planner.
@@ -70,7 +72,8 @@
 	Proxies, Streams             int
 	Ready, Draining, Gone        int
 	Doubted, Refused             int
-	LinesWaiting, LinesPeak      float64
+	LinesWaiting, LinesPeak      float64 // now, and the most since the last status
+	LinesMost                    float64 // since the start
 	Joins, Messages, Lines, Sums uint64
 	Unheard, Shed                uint64
 	Endings                      map[orders.Reason]uint64
@@ -93,8 +96,11 @@
 		p.allow.Insert(netip.MustParsePrefix(a).Masked(), struct{}{})
 	}
 	wall := o.Clock.Wall()
-	p.core = NewCore(set, uint64(wall.UnixNano()), o.Clock.Mono())
-	p.publish()
+	if o.Decider == nil {
+		o.Decider = NewModule(set)
+	}
+	p.core = NewCore(set, o.Decider, uint64(wall.UnixNano()), o.Clock.Mono())
+	p.publish(true)
 	if path := set.List.Keep; path != "" {
 		u, found, err := list.Restore(path, uint64(wall.UnixMilli()))
 		if err != nil {
@@ -126,6 +132,9 @@
 		o.Ready(l.Addr())
 	}
 	err = group.Wait()
+	if o.Status != nil {
+		o.Status(p.status.Load())
+	}
 	o.Log.Info("planner ends", "planner", set.Name, "error", err)
 	return err
 }
@@ -154,6 +163,7 @@
 		select {
 		case <-ctx.Done():
 			stop()
+			p.publish(true)
 			p.farewell()
 			return nil
 		case first = <-p.inbox:
@@ -175,7 +185,7 @@
 		}
 		for p.core.Next(p) {
 		}
-		p.publish()
+		p.publish(false)
 		p.keepList()
 	}
 }
@@ -444,10 +454,11 @@
 	}
 }
 
-func (p *Planner) publish() {
+// publish lets others see what the planner thinks, a few times a second, or now.
+func (p *Planner) publish(now bool) {
 	c := p.core
 	last := p.status.Load()
-	if last != nil && c.wall.UnixMilli()-last.AtUnixMs < 200 && c.wall.UnixMilli() >= last.AtUnixMs {
+	if !now && last != nil && c.wall.UnixMilli()-last.AtUnixMs < 200 && c.wall.UnixMilli() >= last.AtUnixMs {
 		return
 	}
 	s := &Status{Planner: p.Settings.Name, AtUnixMs: c.wall.UnixMilli(), Proxies: len(c.names), Streams: int(p.streams.Load()),
@@ -456,6 +467,9 @@
 		Shed: c.Counts.Shed, Endings: map[orders.Reason]uint64{}, OrderMsP50: float64(c.Order.ValueAtQuantile(50)) / 1000,
 		OrderMsP99: float64(c.Order.ValueAtQuantile(99)) / 1000, RefusedDials: p.refused.Load()}
 	s.Ready, s.Draining, s.Gone = c.memory.Servers()
+	if s.LinesMost = s.LinesPeak; last != nil {
+		s.LinesMost = max(s.LinesPeak, last.LinesMost)
+	}
 	for r, n := range c.Counts.Endings {
 		s.Endings[r] = n
 	}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -10,6 +10,7 @@
 	"math/rand"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -191,20 +192,23 @@
 	body   []byte
 }
 
-// once is a body without a way to read it again: the library then never repeats a request by itself, except on a
-// connection on which nothing was written.
-type once struct{ io.Reader }
-
-func (once) Close() error { return nil }
-
 func (p *Proxy) try(r *http.Request, body []byte, line *http.Transport, server string, try int, within float64) (*answer, Outcome) {
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(max(within, 1)*float64(time.Millisecond)))
 	defer cancel()
-	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+server+r.URL.RequestURI(), nil)
+	// The library repeats some requests by itself when a kept connection breaks under them, after which nobody knows
+	// how often they ran. It may do so only while nothing was written.
+	var wrote atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaders: func() { wrote.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) {
+			if wrote.Load() {
+				cancel()
+			}
+		}})
+	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+server+r.URL.RequestURI(), bytes.NewReader(body))
 	if err != nil {
 		return nil, Unrun
 	}
-	out.Body, out.ContentLength = once{bytes.NewReader(body)}, int64(len(body))
 	out.Header = r.Header.Clone()
 	for _, hop := range []string{"Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection"} {
 		out.Header.Del(hop)
--- /dev/null
+++ b/internal/rehearsal/baseline.go
@@ -0,0 +1,91 @@
+package rehearsal
+
+import (
+	"slices"
+
+	"lichenpick/brain"
+	"lichenpick/internal/planner"
+)
+
+// even is a baseline, for comparison only: one table of all listed servers for all proxies, changed at once. It
+// judges no server, sets no level and counts no line.
+type even struct {
+	bySize  bool
+	entries map[string]brain.Entry
+	order   []string
+	sent    map[string]float64 // weights of the table
+	out     map[string]bool
+	waiting []int // proxies to bind
+	groups  []int
+	woken   bool
+}
+
+func newEven(bySize bool, groups int) planner.Decider {
+	e := &even{bySize: bySize, entries: map[string]brain.Entry{}, sent: map[string]float64{}, out: map[string]bool{}}
+	for g := range groups {
+		e.groups = append(e.groups, g)
+	}
+	return e
+}
+
+func (e *even) Tick(float64) { e.woken = false }
+
+func (e *even) Listed(form brain.ListForm, list []brain.Entry) {
+	if form == brain.Failed {
+		return
+	}
+	for _, x := range list {
+		if _, known := e.entries[x.Server]; !known {
+			e.order = append(e.order, x.Server)
+		}
+		e.entries[x.Server] = x
+	}
+}
+
+func (e *even) Joined(id, _ int, _ float64) { e.waiting = append(e.waiting, id) }
+func (e *even) Left(id int) {
+	e.waiting = slices.DeleteFunc(e.waiting, func(x int) bool { return x == id })
+}
+func (e *even) Heard(string, int, int, int, float64, float64) {}
+func (e *even) Usage(int, int, int, int, float64)             {}
+func (e *even) Applied(int, int, float64)                     {}
+
+func (e *even) Next(h brain.Host) bool {
+	for _, name := range e.order {
+		x := e.entries[name]
+		want := 1.0
+		if e.bySize {
+			want = x.Size
+		}
+		if x.State != brain.Ready {
+			if !e.out[name] {
+				e.out[name] = true
+				h.Withdraw(name, true)
+				return true
+			}
+			continue
+		}
+		if e.sent[name] != want {
+			e.sent[name] = want
+			h.SetLine(0, name, want)
+			return true
+		}
+		if e.out[name] {
+			delete(e.out, name)
+			h.Withdraw(name, false)
+			return true
+		}
+	}
+	if len(e.waiting) > 0 && len(e.sent) > 0 {
+		id := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		h.Bind(id, 0, e.groups)
+		return true
+	}
+	if !e.woken {
+		e.woken = true
+		h.Wake(200)
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/rehearsal/watch.go
@@ -0,0 +1,234 @@
+package rehearsal
+
+import (
+	"bufio"
+	"bytes"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"lichenpick/internal/orders"
+	"lichenpick/internal/proxy"
+	"lichenpick/internal/rules"
+	"lichenpick/proto/order"
+)
+
+// judge lets watches of many connections tell one checker, in turn.
+type judge struct {
+	mu      sync.Mutex
+	checker *rules.Checker
+	toMono  func(unixUs uint64) float64
+	odd     map[string]int // what could not be read from a socket, by kind
+}
+
+func (j *judge) strange(what string) { j.odd[what]++ }
+
+// streamWatch reads a proxy's stream to a planner.
+type streamWatch struct {
+	j            *judge
+	planner      string
+	up, down     *orders.Decoder
+	proxy        string
+	passed       int // bytes that came from the planner
+	reached      int // and went out to the proxy
+	undelivered  []undelivered
+	broken, over bool
+}
+
+type undelivered struct {
+	end     int
+	welcome *order.Welcome
+	orders  *order.Orders
+}
+
+const watchedFrame = 32 << 20 // bytes; no limit of either end is larger
+
+func newStreamWatch(j *judge, planner string) *streamWatch {
+	return &streamWatch{j: j, planner: planner, up: orders.NewDecoder(watchedFrame), down: orders.NewDecoder(watchedFrame)}
+}
+
+func (w *streamWatch) ToTarget(at float64, p []byte) {
+	w.j.mu.Lock()
+	defer w.j.mu.Unlock()
+	w.up.Feed(p)
+	for {
+		f, ok, err := w.up.Next()
+		if err != nil && !w.broken {
+			w.broken = true
+			w.j.strange("frame to a planner")
+		}
+		if !ok {
+			return
+		}
+		if f.Kind == orders.Join {
+			var m order.Join
+			if proto.Unmarshal(f.Body, &m) == nil {
+				w.proxy = m.Proxy
+				w.j.checker.Joined(m.Proxy, w.planner, at, &m)
+			}
+		}
+	}
+}
+
+func (w *streamWatch) FromTarget(at float64, p []byte) {
+	w.j.mu.Lock()
+	defer w.j.mu.Unlock()
+	before := w.passed
+	w.passed += len(p)
+	held := w.down.Held()
+	w.down.Feed(p)
+	end := before - held
+	for {
+		f, ok, err := w.down.Next()
+		if err != nil && !w.broken {
+			w.broken = true
+			w.j.strange("frame to a proxy")
+		}
+		if !ok {
+			return
+		}
+		end += 20 + len(f.Body)
+		switch f.Kind {
+		case orders.Welcome:
+			m := &order.Welcome{}
+			if proto.Unmarshal(f.Body, m) == nil {
+				w.undelivered = append(w.undelivered, undelivered{end: end, welcome: m})
+			}
+		case orders.Orders:
+			m := &order.Orders{}
+			if proto.Unmarshal(f.Body, m) == nil {
+				w.undelivered = append(w.undelivered, undelivered{end: end, orders: m})
+				w.j.checker.Queued(w.proxy, w.planner, at, w.j.toMono(m.DecidedUnixUs), m)
+			}
+		}
+	}
+}
+
+func (w *streamWatch) Delivered(at float64, n int) {
+	w.j.mu.Lock()
+	defer w.j.mu.Unlock()
+	w.reached += n
+	for len(w.undelivered) > 0 && w.undelivered[0].end <= w.reached {
+		u := w.undelivered[0]
+		w.undelivered = w.undelivered[1:]
+		if u.welcome != nil {
+			w.j.checker.Welcomed(w.proxy, at, u.welcome)
+		} else {
+			w.j.checker.Ordered(w.proxy, at, w.j.toMono(u.orders.DecidedUnixUs), u.orders)
+		}
+	}
+}
+
+func (w *streamWatch) Closed(at float64) {
+	w.j.mu.Lock()
+	defer w.j.mu.Unlock()
+	if w.proxy != "" && !w.over {
+		w.over = true
+		w.j.checker.Broken(w.proxy, w.planner, at)
+	}
+}
+
+// listWatch reads the list on its way to a planner, which is the one that dials.
+type listWatch struct {
+	j       *judge
+	planner string
+	down    *orders.Decoder
+}
+
+func (w *listWatch) ToTarget(float64, []byte) {}
+
+func (w *listWatch) FromTarget(at float64, p []byte) {
+	w.j.mu.Lock()
+	defer w.j.mu.Unlock()
+	w.down.Feed(p)
+	for {
+		f, ok, err := w.down.Next()
+		if err != nil {
+			w.j.strange("frame of the list")
+		}
+		if !ok {
+			return
+		}
+		m := &order.Listing{}
+		if f.Kind == orders.Listing && proto.Unmarshal(f.Body, m) == nil {
+			w.j.checker.Listed(w.planner, at, m)
+		}
+	}
+}
+
+func (w *listWatch) Delivered(float64, int) {}
+func (w *listWatch) Closed(float64)         {}
+
+// heads cuts an HTTP/1.1 direction into heads. Bodies have a stated length, as both ends here send them so.
+type heads struct {
+	buf  []byte
+	skip int
+	bad  bool
+}
+
+func (h *heads) feed(p []byte, tell func(first string, header textproto.MIMEHeader)) {
+	if h.bad {
+		return
+	}
+	h.buf = append(h.buf, p...)
+	for len(h.buf) > 0 {
+		n := min(h.skip, len(h.buf))
+		h.buf, h.skip = h.buf[n:], h.skip-n
+		end := bytes.Index(h.buf, []byte("\r\n\r\n"))
+		if h.skip > 0 || end < 0 {
+			h.bad = len(h.buf) > 1<<16
+			return
+		}
+		head := h.buf[:end+4]
+		h.buf = h.buf[end+4:]
+		r := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
+		first, err := r.ReadLine()
+		header, err2 := r.ReadMIMEHeader()
+		if err != nil || err2 != nil || header.Get("Transfer-Encoding") != "" {
+			h.bad = true
+			return
+		}
+		h.skip, _ = strconv.Atoi(header.Get("Content-Length"))
+		tell(first, header)
+	}
+}
+
+// flowWatch reads flows on their way to a server.
+type flowWatch struct {
+	j        *judge
+	server   string
+	groups   map[string]int
+	up, down heads
+	now      rules.Flow
+}
+
+func (w *flowWatch) ToTarget(at float64, p []byte) {
+	w.j.mu.Lock()
+	defer w.j.mu.Unlock()
+	w.up.feed(p, func(_ string, h textproto.MIMEHeader) {
+		try, _ := strconv.Atoi(h.Get(proxy.TryHeader))
+		w.now = rules.Flow{ID: h.Get(proxy.FlowHeader), Group: w.groups[h.Get(proxy.GroupHeader)], Try: try, Proxy: h.Get(proxy.ProxyHeader)}
+		w.j.checker.Sent(w.server, at, w.now)
+	})
+	if w.up.bad {
+		w.j.strange("flow to a server")
+	}
+}
+
+func (w *flowWatch) FromTarget(at float64, p []byte) {
+	w.j.mu.Lock()
+	defer w.j.mu.Unlock()
+	w.down.feed(p, func(first string, h textproto.MIMEHeader) {
+		unrun := strings.Contains(first, " 503 ") && h.Get(proxy.RanHeader) == "no"
+		w.j.checker.Answered(w.server, at, w.now, unrun)
+	})
+	if w.down.bad {
+		w.j.strange("answer of a server")
+	}
+}
+
+func (w *flowWatch) Delivered(float64, int) {}
+func (w *flowWatch) Closed(float64)         {}
--- /dev/null
+++ b/internal/rules/rules.go
@@ -0,0 +1,445 @@
+// Package rules judges the five rules from what passed on the sockets, apart from the code that keeps them: it is
+// told of frames and flows as they pass, keeps its own picture of what each proxy was told, and names each breach
+// with its evidence.
+package rules
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+
+	"lichenpick/proto/order"
+)
+
+// Rule of the five.
+type Rule int
+
+const (
+	Bare     Rule = 1 + iota // a joined proxy without a server to pick
+	Twice                    // an effect twice
+	Drain                    // sent to what drains or is gone
+	PushOver                 // a cold server sent too much
+	Queue                    // lines waiting, messages to one proxy
+)
+
+func (r Rule) String() string {
+	return [...]string{"none", "bare", "twice", "drain", "push-over", "queue"}[r]
+}
+
+// Breach is one rule broken, once.
+type Breach struct {
+	Rule     Rule
+	AtMs     float64
+	Evidence string
+}
+
+// Limits are the figures of the rules. Times in ms.
+type Limits struct {
+	BareMs, GraceMs, WarmUpMs, MissingMs float64 // MissingMs: after which a server that lists only lack counts as gone
+	FallMs, FallMultiple                 float64
+	WorkMs, HandshakeMs                  float64 // mean work of a flow, and of a connection
+	MostWaiting                          float64
+	MostMessages                         int
+	SpanMs                               float64
+	SlackMs                              float64 // between a frame's passing and its obeying, or a flow's pick and its passing
+	Repeats                              []Repeat
+	OnlyZone                             []bool
+	Capacity                             func(server string, at float64) float64 // of a stand-in, work a ms; 0 for one not known
+}
+
+// Repeat is what a traffic group bears.
+type Repeat int
+
+const (
+	Never Repeat = iota
+	Keyed        // within WindowMs
+	Always
+)
+
+const (
+	chanceSlack = 1.15 // of a cold server's budget; work is counted by its mean
+	mostTold    = 20   // breaches kept of each rule
+	knowing     = 2.0 / 3
+)
+
+// Flow is a try as its head passed.
+type Flow struct {
+	ID    string
+	Group int
+	Try   int
+	Proxy string
+}
+
+type listing struct {
+	state  uint32
+	zone   string
+	born   uint64
+	bornAt float64 // when the planner was told of this birth
+	told   float64 // when it was told that the server drains or is gone; infinite while ready
+}
+
+type planner struct {
+	list    map[string]*listing
+	waiting []message // queued and passed
+}
+
+type message struct{ decided, passed, lines float64 }
+
+type lines struct {
+	weights map[string]float64
+	out     map[string]bool
+}
+
+type proxy struct {
+	planner  string // joined to; empty: none
+	joined   float64
+	zone     string
+	tables   map[uint32]*lines
+	slots    []*lines
+	out      map[string]bool
+	bare     []float64 // since when, by group; infinite: not
+	told     []bool    // breach told
+	messages []float64
+	decided  float64 // of the last message that passed
+}
+
+type try struct {
+	at     float64
+	server string
+	unrun  bool
+	done   bool
+}
+
+type sentWork struct {
+	at, work float64
+	knows    bool
+}
+
+// Checker judges. Its methods are called in order of time, by one goroutine at a time.
+type Checker struct {
+	lim      Limits
+	planners map[string]*planner
+	proxies  map[string]*proxy
+	flows    map[string][]*try // by flow and proxy
+	old      []string          // flows in order of coming, to forget
+	cold     map[string][]sentWork
+	breaches map[Rule][]Breach
+	counts   map[Rule]int
+	Messages int
+	Lines    float64
+	Flows    int
+}
+
+// NewChecker makes one that has seen nothing.
+func NewChecker(lim Limits) *Checker {
+	return &Checker{lim: lim, planners: map[string]*planner{}, proxies: map[string]*proxy{}, flows: map[string][]*try{},
+		cold: map[string][]sentWork{}, breaches: map[Rule][]Breach{}, counts: map[Rule]int{}}
+}
+
+func (c *Checker) broke(r Rule, at float64, format string, args ...any) {
+	c.counts[r]++
+	if len(c.breaches[r]) < mostTold {
+		c.breaches[r] = append(c.breaches[r], Breach{r, at, fmt.Sprintf(format, args...)})
+	}
+}
+
+func (c *Checker) planner(name string) *planner {
+	p := c.planners[name]
+	if p == nil {
+		p = &planner{list: map[string]*listing{}}
+		c.planners[name] = p
+	}
+	return p
+}
+
+// Listed saw a list on its way to a planner.
+func (c *Checker) Listed(name string, at float64, m *order.Listing) {
+	if m.Form == order.Listing_FAILED {
+		return
+	}
+	p := c.planner(name)
+	seen := map[string]bool{}
+	for _, e := range m.Entries {
+		seen[e.Server] = true
+		l := p.list[e.Server]
+		if l == nil {
+			l = &listing{told: math.Inf(1)}
+			p.list[e.Server] = l
+		}
+		if e.BornUnixMs != l.born || l.bornAt == 0 {
+			l.bornAt = at
+		}
+		if e.State == 0 {
+			l.told = math.Inf(1)
+		} else if math.IsInf(l.told, 1) || l.told > at {
+			l.told = at
+		}
+		l.state, l.zone, l.born = e.State, e.Zone, e.BornUnixMs
+	}
+	if m.Form == order.Listing_WHOLE {
+		for name, l := range p.list {
+			if !seen[name] && math.IsInf(l.told, 1) {
+				l.told = at + c.lim.MissingMs
+			}
+		}
+	}
+	for name, q := range c.proxies {
+		c.look(name, q, at)
+	}
+}
+
+// PlannerGone saw that a planner ended: what it knew of the list is void.
+func (c *Checker) PlannerGone(name string, at float64) {
+	delete(c.planners, name)
+	for id, q := range c.proxies {
+		if q.planner == name {
+			c.Broken(id, name, at)
+		}
+	}
+}
+
+// Joined saw a proxy's first frame on its way to a planner.
+func (c *Checker) Joined(name, planner string, at float64, j *order.Join) {
+	q := &proxy{planner: planner, joined: at, zone: j.Zone, tables: map[uint32]*lines{}, out: map[string]bool{}}
+	for range c.lim.Repeats {
+		q.slots, q.bare, q.told = append(q.slots, &lines{}), append(q.bare, math.Inf(1)), append(q.told, false)
+	}
+	for _, h := range j.Holds {
+		t := &lines{weights: map[string]float64{}, out: map[string]bool{}}
+		for _, l := range h.Lines {
+			t.weights[l.Server] = l.Weight
+		}
+		for _, s := range h.Withdrawn {
+			t.out[s] = true
+		}
+		for _, g := range h.Groups {
+			if int(g) < len(q.slots) {
+				q.slots[g] = t
+			}
+		}
+	}
+	c.proxies[name] = q
+	c.look(name, q, at)
+}
+
+// Broken saw that a proxy's stream ended.
+func (c *Checker) Broken(name, planner string, at float64) {
+	if q := c.proxies[name]; q != nil && q.planner == planner {
+		c.look(name, q, at)
+		q.planner = ""
+	}
+}
+
+// Welcomed saw the answer to a join reach the proxy.
+func (c *Checker) Welcomed(name string, at float64, w *order.Welcome) {
+	if q := c.proxies[name]; q != nil {
+		for _, s := range w.Withdrawn {
+			q.out[s] = true
+		}
+		c.look(name, q, at)
+	}
+}
+
+// Queued saw a message leave its planner, decided at a time by the same clock.
+func (c *Checker) Queued(name, by string, at, decided float64, m *order.Orders) {
+	c.Messages++
+	c.Lines += m.Lines
+	p := c.planner(by)
+	p.waiting = append(p.waiting, message{decided, at, m.Lines})
+	q := c.proxies[name]
+	if q == nil {
+		return
+	}
+	q.messages = append(q.messages, decided)
+	q.messages = slices.DeleteFunc(q.messages, func(t float64) bool { return t <= decided-c.lim.SpanMs || t < q.joined-c.lim.SlackMs })
+	if c.lim.MostMessages > 0 && len(q.messages) > c.lim.MostMessages {
+		c.broke(Queue, at, "proxy %s: %d messages within %g ms, %d allowed", name, len(q.messages), c.lim.SpanMs, c.lim.MostMessages)
+	}
+}
+
+// Ordered saw a message reach a proxy.
+func (c *Checker) Ordered(name string, at, decided float64, m *order.Orders) {
+	q := c.proxies[name]
+	if q == nil {
+		return
+	}
+	q.decided = decided
+	for _, o := range m.Orders {
+		switch w := o.What.(type) {
+		case *order.Order_Bind:
+			t := &lines{weights: map[string]float64{}, out: q.out}
+			for _, l := range w.Bind.Lines {
+				t.weights[l.Server] = l.Weight
+			}
+			for _, s := range w.Bind.Withdrawn {
+				q.out[s] = true
+			}
+			q.tables[w.Bind.Table] = t
+			for _, g := range w.Bind.Groups {
+				if int(g) < len(q.slots) {
+					q.slots[g] = t
+				}
+			}
+		case *order.Order_Line:
+			if t := q.tables[w.Line.Table]; t != nil {
+				t.weights[w.Line.Line.Server] = w.Line.Line.Weight
+			}
+		case *order.Order_Withdraw:
+			if w.Withdraw.Out {
+				q.out[w.Withdraw.Server] = true
+			} else {
+				delete(q.out, w.Withdraw.Server)
+			}
+		}
+	}
+	c.look(name, q, at)
+}
+
+// look judges the first rule for a proxy: how long each group has been bare while an open warm server was listed.
+func (c *Checker) look(name string, q *proxy, at float64) {
+	if q.planner == "" {
+		return
+	}
+	p := c.planner(q.planner)
+	for g, t := range q.slots {
+		bare := true
+		for s, w := range t.weights {
+			if w > 0 && !t.out[s] && !q.out[s] {
+				bare = false
+			}
+		}
+		listed := false
+		for _, l := range p.list {
+			warm := l.born == 0 || at-l.bornAt >= c.lim.WarmUpMs
+			if l.told > at && warm && (!c.lim.OnlyZone[g] || l.zone == q.zone) {
+				listed = true
+			}
+		}
+		if since := q.bare[g]; at-since > c.lim.BareMs && !q.told[g] {
+			q.told[g] = true
+			c.broke(Bare, at, "proxy %s had nothing to pick for group %d from %.0f to %.0f ms", name, g, since, at)
+		}
+		switch {
+		case !bare || !listed:
+			q.bare[g], q.told[g] = math.Inf(1), false
+		case math.IsInf(q.bare[g], 1):
+			q.bare[g] = at
+		}
+	}
+}
+
+// Connected saw a connection open towards a server.
+func (c *Checker) Connected(server string, at float64) {
+	c.load(server, at, c.lim.HandshakeMs, false)
+}
+
+// Sent saw the head of a try pass towards a server.
+func (c *Checker) Sent(server string, at float64, f Flow) {
+	c.Flows++
+	key := f.ID + "\x00" + f.Proxy
+	if f.Group < len(c.lim.Repeats) && c.lim.Repeats[f.Group] != Always {
+		for _, t := range c.flows[key] {
+			if !t.unrun {
+				c.broke(Twice, at, "proxy %s sent flow %s of group %d to %s (try %d) at %.0f ms, after %s got it at %.0f ms and never proved that it did not run",
+					f.Proxy, f.ID, f.Group, server, f.Try, at, t.server, t.at)
+			}
+		}
+	}
+	c.flows[key] = append(c.flows[key], &try{at: at, server: server})
+	if c.old = append(c.old, key); len(c.old) > 200000 {
+		delete(c.flows, c.old[0])
+		c.old = c.old[1:]
+	}
+	q := c.proxies[f.Proxy]
+	if q == nil || q.planner == "" {
+		c.load(server, at, c.lim.WorkMs, false)
+		return
+	}
+	l := c.planner(q.planner).list[server]
+	if l != nil {
+		if from := math.Max(l.told, q.joined); at > from+c.lim.GraceMs+c.lim.SlackMs {
+			c.broke(Drain, at, "proxy %s sent a flow to %s %.0f ms after its planner could know that it goes; the grace is %.0f ms",
+				f.Proxy, server, at-from, c.lim.GraceMs)
+		}
+	}
+	c.load(server, at, c.lim.WorkMs, l != nil && (q.decided > l.bornAt || at > l.bornAt+c.lim.GraceMs))
+}
+
+// Answered saw a server's answer to a try; unrun is its proof that it did not begin.
+func (c *Checker) Answered(server string, at float64, f Flow, unrun bool) {
+	for _, t := range c.flows[f.ID+"\x00"+f.Proxy] {
+		if t.server == server {
+			t.done, t.unrun = true, t.unrun || unrun
+		}
+	}
+}
+
+// load judges the fourth rule: work sent to a cold server in any window against a multiple of what it can do.
+func (c *Checker) load(server string, at, work float64, knows bool) {
+	if c.lim.Capacity == nil {
+		return
+	}
+	able, cold := c.coldCapacity(server, at)
+	if !cold {
+		delete(c.cold, server)
+		return
+	}
+	in := append(c.cold[server], sentWork{at, work, knows})
+	in = slices.DeleteFunc(in, func(s sentWork) bool { return s.at <= at-c.lim.FallMs })
+	c.cold[server] = in
+	sum, known := 0.0, 0.0
+	for _, s := range in {
+		if sum += s.work; s.knows {
+			known += s.work
+		}
+	}
+	if most := c.lim.FallMultiple * able * c.lim.FallMs * chanceSlack; sum > most && known >= knowing*sum {
+		c.broke(PushOver, at, "cold server %s was sent %.0f ms of work within %.0f ms, %.0f allowed; %.0f%% by proxies that could know",
+			server, sum, c.lim.FallMs, most, 100*known/sum)
+		delete(c.cold, server)
+	}
+}
+
+// coldCapacity gives a cold server's capacity; the limits' function says 0 for a warm one.
+func (c *Checker) coldCapacity(server string, at float64) (able float64, cold bool) {
+	able = c.lim.Capacity(server, at)
+	return able, able > 0
+}
+
+// Finish judges what can be judged only at the end, and gives all breaches by time, and their number by rule.
+func (c *Checker) Finish(at float64) ([]Breach, map[Rule]int) {
+	for name, q := range c.proxies {
+		c.look(name, q, at)
+	}
+	for name, p := range c.planners {
+		c.queue(name, p)
+	}
+	var all []Breach
+	for _, b := range c.breaches {
+		all = append(all, b...)
+	}
+	sort.SliceStable(all, func(a, b int) bool { return all[a].AtMs < all[b].AtMs })
+	return all, c.counts
+}
+
+// queue judges how many lines waited at any time: those decided and not passed yet.
+func (c *Checker) queue(name string, p *planner) {
+	type edge struct{ at, lines float64 }
+	var edges []edge
+	for _, m := range p.waiting {
+		edges = append(edges, edge{m.decided, m.lines}, edge{m.passed, -m.lines})
+	}
+	sort.SliceStable(edges, func(a, b int) bool {
+		return edges[a].at < edges[b].at || edges[a].at == edges[b].at && edges[a].lines < edges[b].lines
+	})
+	waiting, most, when := 0.0, 0.0, 0.0
+	for _, e := range edges {
+		if waiting += e.lines; waiting > most {
+			most, when = waiting, e.at
+		}
+	}
+	if most > c.lim.MostWaiting {
+		c.broke(Queue, when, "planner %s: %.0f lines waited, %.0f allowed", name, most, c.lim.MostWaiting)
+	}
+}
--- a/internal/settings/together.go
+++ b/internal/settings/together.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"lichenpick/proto/script"
 	pb "lichenpick/proto/settings"
 )
 
@@ -37,6 +38,8 @@
 				return wrong(field(nil, "from"), "holds %q; an IP address is wanted", m.From)
 			}
 		}
+	case *script.Script:
+		return checkScript(m)
 	case *pb.List:
 		seen := map[string]bool{}
 		for n, e := range m.Servers {
@@ -95,3 +98,57 @@
 	}
 	return nil
 }
+
+func checkScript(s *script.Script) *fault {
+	if bad := checkGroups(s.Groups); bad != nil {
+		return bad
+	}
+	if n := len(s.Traffic.Shares); n > 0 && n != len(s.Groups) {
+		return wrong(entryless("traffic", "shares"), "has %d entries for %d groups", n, len(s.Groups))
+	}
+	sum := 0.0
+	for n, x := range s.Traffic.Shares {
+		if !(x >= 0 && x <= 1e6) {
+			return wrong(entry(field(nil, "traffic"), "shares", n), "holds %g, out of its range; from 0 to 1e+06", x)
+		}
+		sum += x
+	}
+	if len(s.Traffic.Shares) > 0 && sum == 0 {
+		return wrong(entryless("traffic", "shares"), "add up to nothing")
+	}
+	places, proxies, servers := map[string]bool{}, uint32(0), uint32(0)
+	for n, p := range s.Places {
+		if places[p.Name] {
+			return wrong(field(entry(nil, "places", n), "name"), "holds %q, which an earlier place has", p.Name)
+		}
+		places[p.Name] = true
+		proxies, servers = proxies+p.GetProxies(), servers+p.GetServers()
+	}
+	if proxies == 0 || servers == 0 {
+		return wrong(field(nil, "places"), "have %d proxies and %d servers; one of each is needed", proxies, servers)
+	}
+	if s.Servers.GetSlowest() > s.Servers.GetFastest() {
+		return wrong(entryless("servers", "slowest"), "holds %g, over fastest", s.Servers.GetSlowest())
+	}
+	for n, t := range s.Troubles {
+		at := entry(nil, "troubles", n)
+		zone, name := "", ""
+		switch w := t.What.(type) {
+		case nil:
+			return wrong(at, "says nothing of what goes wrong")
+		case *script.Trouble_ZoneCut:
+			zone, name = w.ZoneCut.Zone, "zone_cut"
+		case *script.Trouble_ZoneLoss:
+			zone, name = w.ZoneLoss.Zone, "zone_loss"
+		case *script.Trouble_OneSided:
+			zone, name = w.OneSided.Zone, "one_sided"
+		}
+		if name != "" && !places[zone] {
+			return wrong(field(field(at, name), "zone"), "holds %q, which is no place of this script", zone)
+		}
+		if Ms(t.At) >= Ms(s.Length) {
+			return wrong(field(at, "at"), "holds %q, after the day's length of %q", t.At, s.Length)
+		}
+	}
+	return nil
+}
