--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -218,7 +218,7 @@
 	resp, err := line.RoundTrip(out)
 	if err != nil {
 		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
+		if errors.As(err, &op) && op.Op == "dial" && !wrote.Load() { // a dial may be the library's second attempt
 			return nil, Unrun
 		}
 		return nil, Dropped
