--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -15,6 +15,7 @@
 	Mono() float64 // ms since an arbitrary origin
 	Wall() time.Time
 	After(ms float64) (<-chan time.Time, func()) // fires once; the func releases it early
+	Deadline(ms float64) time.Time               // so long from now, for reads and writes; no step of the date moves it
 }
 
 // Network dials and listens.
@@ -39,6 +40,10 @@
 	return t.C, func() { t.Stop() }
 }
 
+func (r *Real) Deadline(ms float64) time.Time {
+	return time.Now().Add(time.Duration(max(ms, 0) * float64(time.Millisecond)))
+}
+
 // Sleep waits for a while, or until the context ends, which it then says.
 func Sleep(ctx context.Context, c Clock, ms float64) error {
 	fired, stop := c.After(ms)
--- a/internal/list/source.go
+++ b/internal/list/source.go
@@ -145,7 +145,7 @@
 	f := &follower{deliver: deliver}
 	buf := make([]byte, 1<<15)
 	for {
-		conn.SetReadDeadline(s.Clock.Wall().Add(time.Duration(s.SilentMs) * time.Millisecond))
+		conn.SetReadDeadline(s.Clock.Deadline(s.SilentMs))
 		n, err := conn.Read(buf)
 		end.Feed(s.Clock.Mono(), buf[:n])
 		for end.Next(f) {
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -253,6 +253,7 @@
 // stream is a connection's shell.
 type stream struct {
 	core   *Stream
+	name   string // as it joined; the reader's until the stream is over
 	conn   net.Conn
 	outbox chan outgoing
 	once   sync.Once
@@ -346,7 +347,7 @@
 	if s.why.Reason != orders.Left && s.why.Reason != orders.Lost && s.why.Reason != orders.Stopping {
 		level = slog.LevelWarn
 	}
-	p.Log.Log(ctx, level, "stream ended", "proxy", s.core.Name(), "from", from, "reason", s.why.Reason, "detail", s.why.Detail)
+	p.Log.Log(ctx, level, "stream ended", "proxy", s.name, "from", from, "reason", s.why.Reason, "detail", s.why.Detail)
 	p.tell(ctx, func() { p.core.Lost(s.core, s.why) })
 }
 
@@ -359,6 +360,7 @@
 }
 
 func (r *reader) Joined(m *order.Join) {
+	r.s.name = m.Proxy
 	r.ok = r.p.tell(r.ctx, func() { r.p.core.Joined(r.s.core, m) })
 }
 func (r *reader) Summed(m *order.Sums) {
@@ -376,7 +378,7 @@
 	buf := make([]byte, readBytes)
 	r := &reader{p: p, s: s, ctx: ctx, ok: true}
 	for {
-		s.conn.SetReadDeadline(p.Clock.Wall().Add(time.Duration(max(end.Due()-p.Clock.Mono(), 1) * float64(time.Millisecond))))
+		s.conn.SetReadDeadline(p.Clock.Deadline(max(end.Due()-p.Clock.Mono(), 1)))
 		select {
 		case <-s.done:
 			return
@@ -405,7 +407,7 @@
 
 // write sends frames, and a beat while there is nothing else, so that a proxy knows that it has a planner.
 func (p *Planner) write(s *stream, end *orders.PlannerEnd) {
-	within := settings.Duration(p.Settings.Streams.WriteWithin)
+	within := settings.Ms(p.Settings.Streams.WriteWithin)
 	beat := p.lim.SilentAfter / 4
 	var buf []byte
 	put := func(kind orders.Kind, m proto.Message) bool {
@@ -414,7 +416,7 @@
 			s.finish(&orders.Ending{Reason: orders.Fault, Detail: err.Error()})
 			return false
 		}
-		s.conn.SetWriteDeadline(p.Clock.Wall().Add(within))
+		s.conn.SetWriteDeadline(p.Clock.Deadline(within))
 		if _, err = s.conn.Write(buf); err != nil {
 			reason := orders.Lost
 			var timeout net.Error
@@ -433,7 +435,7 @@
 		case <-s.done:
 			stop()
 			if s.why.Reason != orders.Lost && s.why.Reason != orders.SlowReader {
-				within = time.Duration(byeMs) * time.Millisecond
+				within = byeMs
 				put(orders.Bye, &order.Bye{Reason: string(s.why.Reason)})
 			}
 			s.conn.Close()
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -339,7 +339,7 @@
 		if err != nil {
 			return err
 		}
-		conn.SetWriteDeadline(p.Clock.Wall().Add(time.Duration(writeMs) * time.Millisecond))
+		conn.SetWriteDeadline(p.Clock.Deadline(writeMs))
 		_, err = conn.Write(frame)
 		return err
 	}
@@ -360,7 +360,7 @@
 	s := &session{p: p}
 	buf := make([]byte, readBytes)
 	for {
-		conn.SetReadDeadline(p.Clock.Wall().Add(time.Duration(max(end.Due()-p.Clock.Mono(), 1) * float64(time.Millisecond))))
+		conn.SetReadDeadline(p.Clock.Deadline(max(end.Due()-p.Clock.Mono(), 1)))
 		n, err := conn.Read(buf)
 		end.Feed(p.Clock.Mono(), buf[:n])
 		was := s.joined
