Planted faults prove that each rule can be seen broken

A checker that cannot fail proves nothing. Five planted faults (an emptied table, repeats of non-retriable flows, dropped withdrawals, a rush on a cold server, a flood of lines) each break exactly their rule in a short rehearsal; five kinds of trouble keep all rules.

--- /dev/null
+++ b/internal/rehearsal/rehearsal_test.go
@@ -0,0 +1,202 @@
+package rehearsal
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/encoding/prototext"
+	"google.golang.org/protobuf/proto"
+
+	"lichenpick/brain"
+	"lichenpick/internal/planner"
+	"lichenpick/internal/settings"
+	"lichenpick/proto/script"
+	pb "lichenpick/proto/settings"
+)
+
+const small = `name: "small" length: "5s" no_baselines: true warm: "1s"
+places { name: "a" proxies: 2 servers: 4 } places { name: "b" proxies: 2 servers: 4 }
+groups { name: "check" latency_budget: "600ms" expiry: "1.5s" repeat: RETRIABLE }
+groups { name: "charge" latency_budget: "800ms" expiry: "2.5s" }
+channel { longest_way: "300ms" } limits { drain_grace: "2s" warm_up: "5s" fall_window: "1s" }
+servers { work: "40ms" } traffic { rate: "80/s" } bare_within: "3s" listed_late: "100ms"
+`
+
+func play(t *testing.T, more string, h Hooks) *Day {
+	t.Helper()
+	s, own, full := &script.Script{}, &script.Script{}, &script.Script{}
+	for m, text := range map[*script.Script]string{s: small, own: more} {
+		if err := prototext.Unmarshal([]byte(text), m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	proto.Merge(s, own)
+	if err := settings.Parse("test", []byte(settings.Print(s)), full); err != nil {
+		t.Fatal(err)
+	}
+	d, err := PlayOne(t.Context(), full, h, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(d.Unread) > 0 {
+		t.Errorf("not read from the sockets: %v", d.Unread)
+	}
+	return d
+}
+
+// edited is a module whose decisions are changed on their way, as a faulty host would.
+type edited struct {
+	planner.Decider
+	now   float64
+	cold  map[string]bool
+	host  brain.Host
+	line  func(e *edited, table int, server string, weight float64)
+	mask  func(e *edited, server string, out bool)
+	admit func(e *edited, table, group int, share float64, retry int)
+	first func(e *edited) // once a tick
+	fresh bool
+}
+
+func (e *edited) Tick(now float64) {
+	e.now, e.fresh = now, true
+	e.Decider.Tick(now)
+}
+
+func (e *edited) Listed(form brain.ListForm, list []brain.Entry) {
+	for _, x := range list {
+		e.cold[x.Server] = x.BornMs > 0
+	}
+	e.Decider.Listed(form, list)
+}
+
+func (e *edited) Next(h brain.Host) bool {
+	e.host = h
+	if e.fresh && e.first != nil {
+		e.fresh = false
+		e.first(e)
+	}
+	return e.Decider.Next(e)
+}
+
+func (e *edited) SetLine(table int, server string, weight float64) {
+	if e.line != nil {
+		e.line(e, table, server, weight)
+		return
+	}
+	e.host.SetLine(table, server, weight)
+}
+func (e *edited) Withdraw(server string, out bool) {
+	if e.mask != nil {
+		e.mask(e, server, out)
+		return
+	}
+	e.host.Withdraw(server, out)
+}
+func (e *edited) Admit(table, group int, share float64, retry int) {
+	if e.admit != nil {
+		e.admit(e, table, group, share, retry)
+		return
+	}
+	e.host.Admit(table, group, share, retry)
+}
+func (e *edited) Bind(proxy, table int, groups []int) { e.host.Bind(proxy, table, groups) }
+func (e *edited) Receipt(number int)                  { e.host.Receipt(number) }
+func (e *edited) Follow()                             { e.host.Follow() }
+func (e *edited) Wake(ms float64)                     { e.host.Wake(ms) }
+
+func with(change func(e *edited)) func(planner.Decider) planner.Decider {
+	return func(d planner.Decider) planner.Decider {
+		e := &edited{Decider: d, cold: map[string]bool{}}
+		change(e)
+		return e
+	}
+}
+
+// A checker that cannot fail proves nothing: each planted fault must break its rule, and no other.
+func TestPlanted(t *testing.T) {
+	const drain = `troubles { at: "1s" lasts: "3s" deploy { servers: 2 drain: "9s" } }`
+	for name, c := range map[string]struct {
+		more string
+		h    Hooks
+		want string
+	}{
+		"nothing planted": {drain, Hooks{}, "map[]"},
+		"a bare table": {`bare_within: "1500ms"`, Hooks{Decider: with(func(e *edited) {
+			e.line = func(e *edited, table int, server string, _ float64) { e.host.SetLine(table, server, 0) }
+		})}, "bare"},
+		"flows that may not run twice are repeated": {`troubles { at: "1s" lasts: "4s" failing { servers: 4 resets: 0.5 } }`,
+			Hooks{Proxy: func(set *pb.Proxy) {
+				set.DefaultRetry = pb.Retry_ONCE
+				for _, g := range set.Groups {
+					g.Repeat = pb.Repeat_RETRIABLE
+				}
+			}, Planner: func(set *pb.Planner) {
+				for _, g := range set.Groups { // the module is deceived as well, or it would forbid it
+					g.Repeat = pb.Repeat_RETRIABLE
+				}
+				set.DefaultRetry = pb.Retry_ONCE
+			}}, "twice"},
+		"a host that drops withdrawals": {drain, Hooks{Decider: with(func(e *edited) {
+			e.mask = func(e *edited, server string, out bool) {}
+			e.line = func(e *edited, table int, server string, weight float64) {
+				if weight > 0 {
+					e.host.SetLine(table, server, weight)
+				}
+			}
+		})}, "drain"},
+		"a rush on a cold server": {`length: "9s" traffic { rate: "250/s" } servers { work: "40ms" waiting: 400 } limits { warm_up: "20s" fall_window: "1s" drain_grace: "2s" }
+			troubles { at: "1s" lasts: "1s" crash { servers: 1 listed: true } }`, Hooks{Decider: with(func(e *edited) {
+			e.line = func(e *edited, table int, server string, weight float64) {
+				if e.cold[server] && weight > 0 {
+					weight = 50
+				}
+				e.host.SetLine(table, server, weight)
+			}
+		})}, "push-over"},
+		"a flood of lines": {"", Hooks{Planner: func(set *pb.Planner) {
+			// The channel would end the streams; so its own limits are lifted, the checker's stay.
+			set.Channel = proto.Clone(set.Channel).(*pb.Channel)
+			set.Channel.MostMessages, set.Channel.MostWaiting = proto.Uint32(100000), proto.Uint32(1000000)
+		}, Decider: with(func(e *edited) {
+			e.first = func(e *edited) {
+				for n := range 3 {
+					e.host.SetLine(0, fmt.Sprintf("127.9.9.9:%d", 9000+n), 1e-6)
+				}
+			}
+		})}, "queue"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := play(t, c.more, c.h)
+			got := fmt.Sprint(d.Broken)
+			if c.want != "map[]" && (len(d.Broken) != 1 || d.Broken[c.want] == 0) || c.want == "map[]" && got != c.want {
+				t.Errorf("broken %v, want %s; %v", d.Broken, c.want, d.Breaches)
+			}
+		})
+	}
+}
+
+// Each kind of trouble that rules are at stake in, on a small fleet. All must keep the rules, and flows go on.
+func TestTroubles(t *testing.T) {
+	for name, c := range map[string]struct {
+		more  string
+		least float64 // of the utility; far under what is measured, as this tells only that the fleet serves
+	}{
+		"a planner killed amid its messages, then started from a stale list": {`listed_late: "2s"
+			troubles { at: "2500ms" lasts: "800ms" planner_restart { kill: true after_bytes: 60 } }
+			troubles { at: "2s" lasts: "3s" deploy { servers: 2 drain: "6s" } }`, 0.7},
+		"a list that is empty for two polls": {`troubles { at: "2s" lasts: "2s" wrong_list { missing: 1 } }`, 0.8},
+		"a list that names strangers":        {`troubles { at: "2s" lasts: "3s" wrong_list { strangers: 3 } }`, 0.5},
+		"stuck streams during a drain": {`troubles { at: "1s" lasts: "5s" stuck_proxy {} }
+			troubles { at: "1500ms" lasts: "3s" deploy { servers: 2 drain: "9s" } }`, 0.7},
+		"a zone lost and back": {`troubles { at: "1500ms" lasts: "1500ms" zone_loss { zone: "a" } }`, 0.3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := play(t, c.more, Hooks{})
+			if len(d.Broken) > 0 || d.Service < c.least {
+				t.Errorf("service %.3f, broken %v: %v", d.Service, d.Broken, d.Breaches)
+			}
+		})
+	}
+}
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"os"
 	"text/tabwriter"
 
@@ -137,12 +138,15 @@
 	}
 	f.judge.mu.Lock()
 	breaches, broken := f.judge.checker.Finish(f.clock.Mono())
+	messages, lines, tries, odd := f.judge.checker.Messages, f.judge.checker.Lines, f.judge.checker.Flows, maps.Clone(f.judge.odd)
 	f.judge.mu.Unlock()
 	cancel()
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return nil, err
 	}
-	return f.day(breaches, broken), nil
+	d := f.day(breaches, broken)
+	d.Messages, d.Lines, d.Tries, d.Unread = messages, lines, tries, odd
+	return d, nil
 }
 
 func shares(s *script.Script) []float64 {
@@ -162,8 +166,7 @@
 }
 
 func (f *fleet) day(breaches []rules.Breach, broken map[rules.Rule]int) *Day {
-	d := &Day{Decider: named(f.hooks.Baseline), Breaches: breaches, Broken: map[string]int{}, Unread: f.judge.odd,
-		Messages: f.judge.checker.Messages, Lines: f.judge.checker.Lines, Tries: f.judge.checker.Flows, Endings: map[string]uint64{},
+	d := &Day{Decider: named(f.hooks.Baseline), Breaches: breaches, Broken: map[string]int{}, Endings: map[string]uint64{},
 		Servers: len(f.nodes), Proxies: len(f.proxies)}
 	for r, n := range broken {
 		d.Broken[r.String()] = n
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -420,7 +421,7 @@
 		all = append(all, b...)
 	}
 	sort.SliceStable(all, func(a, b int) bool { return all[a].AtMs < all[b].AtMs })
-	return all, c.counts
+	return all, maps.Clone(c.counts) // what still passes while the day is taken down must not change them
 }
 
 // queue judges how many lines waited at any time: those decided and not passed yet.
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -23,7 +23,7 @@
 	ToTarget(at float64, p []byte)
 	FromTarget(at float64, p []byte)
 	Delivered(at float64, n int) // bytes that reached the source
-	Closed(at float64)
+	Closed(at float64) // once, when the first of both sides ended it; what was under way may still be delivered
 }
 
 // Relay passes connections on to a target, from the source's own address, and watches them.
@@ -169,24 +169,27 @@
 	if r.Watch != nil {
 		watch = r.Watch(from)
 	}
+	var once sync.Once
+	closed := func() {
+		if watch != nil {
+			once.Do(func() { watch.Closed(r.Clock.Mono()) })
+		}
+	}
 	var both sync.WaitGroup
 	both.Add(2)
 	go func() {
 		defer both.Done()
-		r.pump(ctx, from, source, target, watch, true)
+		r.pump(ctx, from, source, target, watch, true, closed)
 	}()
 	go func() {
 		defer both.Done()
-		r.pump(ctx, from, target, source, watch, false)
+		r.pump(ctx, from, target, source, watch, false, closed)
 	}()
 	both.Wait()
 	r.mu.Lock()
 	delete(r.conns, source)
 	delete(r.conns, target)
 	r.mu.Unlock()
-	if watch != nil {
-		watch.Closed(r.Clock.Mono())
-	}
 }
 
 type piece struct {
@@ -195,7 +198,7 @@
 }
 
 // pump passes one direction.
-func (r *Relay) pump(ctx context.Context, from netip.Addr, in, out net.Conn, watch Watch, toTarget bool) {
+func (r *Relay) pump(ctx context.Context, from netip.Addr, in, out net.Conn, watch Watch, toTarget bool, closed func()) {
 	pieces := make(chan piece, relayPieces)
 	done := make(chan struct{})
 	go func() {
@@ -257,6 +260,7 @@
 			}
 		}
 		if err != nil {
+			closed()
 			return
 		}
 	}
