--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -23,7 +23,7 @@
 	ToTarget(at float64, p []byte)
 	FromTarget(at float64, p []byte)
 	Delivered(at float64, n int) // bytes that reached the source
-	Closed(at float64) // once, when the first of both sides ended it; what was under way may still be delivered
+	Closed(at float64)           // once, when the first of both sides ended it; what was under way may still be delivered
 }
 
 // Relay passes connections on to a target, from the source's own address, and watches them.
