--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,109 @@
+package store
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+func TestStore(t *testing.T) {
+	fresh := func(t *testing.T) string {
+		path := filepath.Join(t.TempDir(), "s")
+		if err := Init(path, "a"); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	t.Run("a mark outlives its process, and never falls", func(t *testing.T) {
+		path := fresh(t)
+		for _, mark := range []uint64{1000, 2000} {
+			s, err := Open(path, "a")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := s.Reserve(mark); err != nil {
+				t.Fatal(err)
+			}
+			if err := s.Reserve(mark - 500); err != nil || s.Mark() != mark {
+				t.Errorf("%v, mark %d", err, s.Mark())
+			}
+			s.Close()
+		}
+		s, err := Open(path, "a")
+		if err != nil || s.Mark() != 2000 {
+			t.Fatalf("%v", err)
+		}
+		if _, err := Open(path, "a"); !errors.Is(err, ErrBusy) {
+			t.Errorf("a second process: %v", err)
+		}
+		s.Close()
+	})
+	t.Run("none, another's, and one made twice", func(t *testing.T) {
+		path := fresh(t)
+		if _, err := Open(path+"x", "a"); !errors.Is(err, ErrNone) {
+			t.Error(err)
+		}
+		if _, err := Open(path, "b"); !errors.Is(err, ErrOther) {
+			t.Error(err)
+		}
+		if err := Init(path, "a"); !errors.Is(err, ErrExists) {
+			t.Error(err)
+		}
+	})
+	// A file cut or overwritten anywhere either opens with the mark that was acknowledged or does not open: never with
+	// an older one.
+	t.Run("damage never gives an older mark", func(t *testing.T) {
+		path := fresh(t)
+		s, err := Open(path, "a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for mark := uint64(1); mark <= 5; mark++ {
+			if err := s.Reserve(mark * 1000); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s.Close()
+		sound, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		opened, refused := 0, 0
+		try := func(what string, at int, b []byte) {
+			p := filepath.Join(t.TempDir(), "d")
+			if err := os.WriteFile(p, b, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			s, err := Open(p, "a")
+			os.Remove(p)
+			if err != nil {
+				refused++
+				return
+			}
+			opened++
+			if s.Mark() != 5000 {
+				t.Errorf("%s at %d: opened with mark %d", what, at, s.Mark())
+			}
+			s.Close()
+		}
+		for at := 0; at < len(sound); at += 127 {
+			try("cut", at, sound[:at])
+		}
+		step := 16 // densely over the library's two first pages, each of which alone says which state is the last
+		for at := 0; at < len(sound); at += step {
+			if at > 2*os.Getpagesize() {
+				step = 251
+			}
+			b := append([]byte(nil), sound...)
+			for k := at; k < min(at+64, len(b)); k++ {
+				b[k] ^= 0x5a
+			}
+			try("overwritten", at, b)
+		}
+		if refused == 0 || opened == 0 {
+			t.Errorf("%d opened, %d refused", opened, refused)
+		}
+		t.Logf("%d opened with the right mark, %d refused", opened, refused)
+	})
+}
