Planners can share a fleet: claims, leases and releases on the order stream

The lease protocol was decided but nothing spoke it. A proxy set to share holds a stream to each planner, grants one of them, tells all who commands it and whom it can reach, and refuses orders of another epoch; a planner with a store claims, commands and yields by package sharing. A new commander is told tables, levels, drains in force and the last messages: drains are kept until its own list shows them, and messages count in the span across the change. The module takes the latter in Joined.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -252,12 +252,13 @@
 	}
 }
 
-func (p *Planner) Joined(id, zone int, usual float64) {
+// Joined takes in a proxy, with the times of messages that it had from another planner: they count in its span.
+func (p *Planner) Joined(id, zone int, usual float64, sent ...float64) {
 	p.Left(id)
 	if zone < 0 || zone >= p.set.Zones {
 		return
 	}
-	q := &proxy{id: id, zone: zone, copy: -1, usual: usual, joined: p.now,
+	q := &proxy{id: id, zone: zone, copy: -1, usual: usual, joined: p.now, sent: sent,
 		marks: map[int]float64{}, usage: make([][]sum, len(p.levels)), bound: make([]*table, p.parts)}
 	p.byID[id], p.proxies, p.stirred = q, append(p.proxies, q), true
 }
--- a/internal/orders/channel.go
+++ b/internal/orders/channel.go
@@ -14,6 +14,9 @@
 // Link is one proxy's end of the channel: the times of its last messages. A new one starts at each join.
 type Link struct{ sent []float64 }
 
+// NewLink begins with messages that others sent the proxy, by time.
+func NewLink(sent []float64) *Link { return &Link{sent: slices.Clone(sent)} }
+
 // Message is what one proxy is sent at one time.
 type Message[T any] struct {
 	To      *Link
--- a/internal/orders/end.go
+++ b/internal/orders/end.go
@@ -25,14 +25,25 @@
 	Joined(*order.Join)
 	Summed(*order.Sums)
 	Answered(*order.Applied)
+	Leased(*order.Lease)
 }
 
 // ProxyHost is told what a planner said. Each method is one frame.
 type ProxyHost interface {
 	Welcomed(*order.Welcome)
 	Ordered(*order.Orders)
+	Claimed(*order.Claim)
+	Released(*order.Release)
+	Stood(*order.Standing)
 }
 
+// Unshared is the part of a ProxyHost that only fleets with several controllers need.
+type Unshared struct{}
+
+func (Unshared) Claimed(*order.Claim)    {}
+func (Unshared) Released(*order.Release) {}
+func (Unshared) Stood(*order.Standing)   {}
+
 // ListHost is told what a list source said.
 type ListHost interface {
 	Listed(*order.Listing)
@@ -161,6 +172,12 @@
 			return false
 		}
 		h.Answered(m)
+	case Lease:
+		m := &order.Lease{}
+		if !p.body(f, m) || !p.checkLease(f, m) {
+			return false
+		}
+		h.Leased(m)
 	case Beat:
 	default:
 		p.ended = ending(BadState, "%s", f.Kind)
@@ -183,6 +200,8 @@
 		return p.bad(f, "usual flows of %g", m.UsualPerS)
 	case len(m.Holds) > mostName:
 		return p.bad(f, "%d tables", len(m.Holds))
+	case m.Lease != nil && !p.checkLease(f, m.Lease):
+		return false
 	}
 	for _, t := range m.Holds {
 		if len(t.Lines) > mostEntries || len(t.Withdrawn) > mostEntries {
@@ -192,6 +211,19 @@
 	return true
 }
 
+func (p *PlannerEnd) checkLease(f Frame, m *order.Lease) bool {
+	if !finite(m.LeftMs) || len(m.Reachable) > mostName || len(m.MessagesAgoMs) > mostEntries || len(m.Going) > mostEntries ||
+		len(m.Holds) > mostName {
+		return p.bad(f, "a lease of %g ms with %d tables", m.LeftMs, len(m.Holds))
+	}
+	for _, ago := range m.MessagesAgoMs {
+		if !finite(ago) {
+			return p.bad(f, "a message %g ms ago", ago)
+		}
+	}
+	return true
+}
+
 func (p *PlannerEnd) checkSums(f Frame, m *order.Sums) bool {
 	if !finite(m.CoversMs) || len(m.Servers) > mostEntries || len(m.Groups) > mostEntries {
 		return p.bad(f, "%d servers, %d groups over %g ms", len(m.Servers), len(m.Groups), m.CoversMs)
@@ -234,6 +266,28 @@
 			return false
 		}
 		h.Ordered(m)
+	case Claim:
+		m := &order.Claim{}
+		if !p.body(f, m) {
+			return false
+		}
+		if !named(m.Controller) || m.Epoch == 0 {
+			p.bad(f, "epoch %d of %q", m.Epoch, clip(m.Controller))
+			return false
+		}
+		h.Claimed(m)
+	case Release:
+		m := &order.Release{}
+		if !p.body(f, m) {
+			return false
+		}
+		h.Released(m)
+	case Standing:
+		m := &order.Standing{}
+		if !p.body(f, m) {
+			return false
+		}
+		h.Stood(m)
 	case Beat:
 	default:
 		p.ended = ending(BadState, "%s", f.Kind)
--- a/internal/orders/frame.go
+++ b/internal/orders/frame.go
@@ -27,19 +27,23 @@
 type Kind uint8
 
 const (
-	Join    Kind = 1 + iota // proxy: opens the stream
-	Welcome                 // planner: answers it
-	Orders                  // planner
-	Applied                 // proxy: answers Orders
-	Sums                    // proxy
-	Beat                    // both: empty, while there is nothing else to say
-	Bye                     // both: ends the stream with a reason
-	Listing                 // a list source
+	Join     Kind = 1 + iota // proxy: opens the stream
+	Welcome                  // planner: answers it
+	Orders                   // planner
+	Applied                  // proxy: answers Orders
+	Sums                     // proxy
+	Beat                     // both: empty, while there is nothing else to say
+	Bye                      // both: ends the stream with a reason
+	Listing                  // a list source
+	Claim                    // planner: asks to command the proxy, where controllers share
+	Release                  // planner: gives that back
+	Lease                    // proxy: who commands it
+	Standing                 // planner: whether it is open to claims
 	kinds
 )
 
 func (k Kind) String() string {
-	names := [...]string{"none", "join", "welcome", "orders", "applied", "sums", "beat", "bye", "listing"}
+	names := [...]string{"none", "join", "welcome", "orders", "applied", "sums", "beat", "bye", "listing", "claim", "release", "lease", "standing"}
 	if int(k) < len(names) {
 		return names[k]
 	}
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -19,6 +19,7 @@
 	"lichenpick/internal/list"
 	"lichenpick/internal/orders"
 	"lichenpick/internal/settings"
+	"lichenpick/internal/sharing"
 	"lichenpick/proto/order"
 	pb "lichenpick/proto/settings"
 )
@@ -52,7 +53,8 @@
 type Host interface {
 	Send(s *Stream, kind orders.Kind, m proto.Message)
 	End(s *Stream, why *orders.Ending)
-	Wake(at float64) // ms of the clock that Tick goes by
+	Wake(at float64)     // ms of the clock that Tick goes by
+	Reserve(upTo uint64) // write a mark down, and then call Reserved: only where controllers share
 }
 
 // peer is a joined proxy.
@@ -73,6 +75,12 @@
 	must        bool // holds a withdrawal of what drains or is gone
 	messages    uint64
 	unanswered  []sent
+	usual       float64
+	commanded   bool               // the module knows it; always, where nothing is shared
+	epoch       uint64             // under which it is commanded
+	going       []string           // what its last commander withdrew as it drains or is gone
+	inherited   map[string]float64 // of these, what our list does not show: kept out until then
+	before      []float64          // messages that others sent it, as times of the clock
 }
 
 // sent is a message that was not answered yet.
@@ -138,6 +146,8 @@
 	inputs      [lastInputs]input
 	nextInput   int
 	listChanged bool
+	share       *sharing.Sharer // nil: nothing is shared
+	shareWake   float64
 
 	Counts Counts
 	Order  *hdrhistogram.Histogram // us from a decision to its answer
@@ -154,7 +164,7 @@
 type Decider interface {
 	Tick(now float64)
 	Listed(form brain.ListForm, list []brain.Entry)
-	Joined(id, zone int, usual float64)
+	Joined(id, zone int, usual float64, sent ...float64)
 	Left(id int)
 	Heard(server string, zone, count, failed int, latency, covers float64)
 	Usage(id, group, count, failed int, covers float64)
@@ -184,10 +194,16 @@
 	c.channel = orders.NewChannel[*message](orders.ChannelLimits{LinesPerS: settings.PerS(set.Channel.Lines),
 		HeadLines: set.Channel.GetHeadLines(), MostWaiting: float64(set.Channel.GetMostWaiting()),
 		MostMessages: int(set.Channel.GetMostMessages()), SpanMs: settings.Ms(set.Channel.MessageSpan)})
+	c.shareWake = math.Inf(1)
 	c.Tick(now, time.Time{})
 	return c
 }
 
+// Share makes the planner one of several that share a fleet; mark is what its store has reserved. It must come first.
+func (c *Core) Share(mark uint64) {
+	c.share = sharing.NewSharer(c.set.Name, c.incarnation, mark, c.now)
+}
+
 var repeats = map[pb.Repeat]brain.Repeat{pb.Repeat_NON_RETRIABLE: brain.NonRetriable, pb.Repeat_DEDUPED: brain.Deduped,
 	pb.Repeat_RETRIABLE: brain.Retriable}
 
@@ -221,6 +237,9 @@
 	c.module.Tick(originMs + now)
 	c.memory.Tick(originMs + now)
 	c.intake.tick(now)
+	if c.share != nil {
+		c.share.Tick(now)
+	}
 }
 
 func (c *Core) keep(what string, m proto.Message) {
@@ -264,6 +283,10 @@
 		c.end(s, &orders.Ending{Reason: orders.Strange, Detail: fmt.Sprintf("%d traffic groups; %d here", j.Groups, len(c.set.Groups))})
 		return
 	}
+	if (j.Lease != nil) != (c.share != nil) {
+		c.end(s, &orders.Ending{Reason: orders.Strange, Detail: "'sharing' is set at one side only"})
+		return
+	}
 	if old := c.names[j.Proxy]; old != nil {
 		// The same process with a newer stream has lost the older one, even if nobody told us. Another process may
 		// have the name once the first is silent: two that are alive would otherwise throw each other out for ever.
@@ -275,7 +298,7 @@
 		c.end(old.stream, &orders.Ending{Reason: orders.Replaced, Detail: fmt.Sprintf("by a stream from %s", s.Address)})
 	}
 	p := &peer{name: j.Proxy, zone: zone, stream: s, incarnation: j.Incarnation, streams: j.Stream, heard: c.now,
-		link: &orders.Link{}, tables: make([]*table, len(c.levels)), holds: j.Holds, out: map[string]bool{}}
+		link: &orders.Link{}, tables: make([]*table, len(c.levels)), holds: j.Holds, out: map[string]bool{}, usual: j.UsualPerS}
 	if n := len(c.free); n > 0 {
 		p.number, c.free = c.free[n-1], c.free[:n-1]
 		c.peers[p.number] = p
@@ -285,7 +308,15 @@
 	s.peer, c.names[p.name] = p, p
 	c.Counts.Joins++
 	w := &order.Welcome{Planner: c.set.Name, Incarnation: c.incarnation,
-		ReportEveryMs: uint32(settings.Ms(c.set.Reports.Every))}
+		ReportEveryMs: uint32(settings.Ms(c.set.Reports.Every)), Sharing: c.share != nil}
+	if c.share != nil { // it is ours only once it says so
+		c.todo = append(c.todo, func(h Host) {
+			h.Send(s, orders.Welcome, w)
+			h.Send(s, orders.Standing, c.standing())
+		})
+		c.share.Joined(p.name, viewOf(j.Lease))
+		return
+	}
 	// What is withdrawn binds from the first moment on, also for tables that others gave it.
 	for _, h := range p.holds {
 		for _, l := range h.Lines {
@@ -295,6 +326,7 @@
 		}
 	}
 	p.unanswered = append(p.unanswered, sent{decided: c.now, must: len(w.Withdrawn) > 0})
+	p.commanded = true
 	c.module.Joined(p.number, zone, j.UsualPerS)
 	c.todo = append(c.todo, func(h Host) { h.Send(s, orders.Welcome, w) })
 }
@@ -325,15 +357,28 @@
 		return
 	}
 	delete(c.names, p.name)
+	if c.share != nil {
+		c.share.Lost(p.name)
+	}
+	if p.commanded {
+		c.unseat(p)
+	}
 	c.peers[p.number], c.free = nil, append(c.free, p.number)
+}
+
+// unseat ends a proxy's part in the module, the tables and the channel.
+func (c *Core) unseat(p *peer) {
+	p.commanded = false
 	c.channel.Drop(p.link)
 	c.intake.forget(p, len(c.levels))
-	for _, t := range p.tables {
+	for g, t := range p.tables {
 		if t != nil {
 			t.users = slices.DeleteFunc(t.users, func(q *peer) bool { return q == p })
 		}
+		p.tables[g] = nil
 	}
 	c.pending = slices.DeleteFunc(c.pending, func(q *peer) bool { return q == p })
+	p.wait, p.cost, p.must, p.unanswered = nil, 0, false, nil
 	c.module.Left(p.number)
 }
 
@@ -351,7 +396,9 @@
 	if p == nil || s.ended {
 		return
 	}
-	p.heard = c.now
+	if p.heard = c.now; !p.commanded {
+		return
+	}
 	for _, x := range m.Servers {
 		if _, known := c.listed[x.Server]; !known || x.Tries == 0 {
 			c.Counts.Unheard++
@@ -375,6 +422,10 @@
 		return
 	}
 	p.heard = c.now
+	if m.Refused && c.share != nil {
+		c.share.Refused(p.name)
+		return
+	}
 	for len(p.unanswered) > 0 && p.unanswered[0].number <= m.Number {
 		u := p.unanswered[0]
 		p.unanswered = p.unanswered[1:]
@@ -397,9 +448,15 @@
 		act(h)
 		return true
 	}
+	if c.share != nil && c.share.Next(sharer{c, h}) {
+		return true
+	}
 	if c.memory.Next(toModule{c}) {
 		return true
 	}
+	if c.outlived() {
+		return true
+	}
 	if t := c.intake.next(); t != nil {
 		c.hear(t)
 		return true
@@ -440,7 +497,7 @@
 }
 
 func (c *Core) wake(h Host) bool {
-	due := math.Min(c.wakeAt, math.Min(c.intake.due(), c.memory.Due()-originMs))
+	due := math.Min(math.Min(c.wakeAt, c.shareWake), math.Min(c.intake.due(), c.memory.Due()-originMs))
 	if c.channel.Messages() > 0 {
 		due = math.Min(due, c.channel.Due())
 	}
@@ -487,6 +544,13 @@
 }
 
 func (c *Core) send(h Host, m *message, decided float64) {
+	if c.share != nil {
+		epoch, ok := c.share.Commands(m.to.name)
+		if !ok || epoch != m.to.epoch {
+			return // it is ours no longer; that is noticed in a moment
+		}
+		m.m.Epoch = epoch
+	}
 	c.Counts.Messages, c.Counts.Lines = c.Counts.Messages+1, c.Counts.Lines+uint64(m.m.Lines)
 	h.Send(m.to.stream, orders.Orders, m.m)
 }
@@ -517,8 +581,9 @@
 }
 
 func (c *Core) withdraw(p *peer, server string, out bool) {
-	c.order(p, 1, &order.Order{What: &order.Order_Withdraw{Withdraw: &order.Withdraw{Server: server, Out: out}}})
-	p.must = p.must || out && c.listed[server] != brain.Ready
+	going := out && c.gone(p, server)
+	c.order(p, 1, &order.Order{What: &order.Order_Withdraw{Withdraw: &order.Withdraw{Server: server, Out: out, Going: going}}})
+	p.must = p.must || going
 	if p.out[server] = out; !out {
 		delete(p.out, server)
 	}
@@ -530,6 +595,11 @@
 func (t toModule) Listed(form brain.ListForm, entries []brain.Entry) {
 	for _, e := range entries {
 		t.c.listed[e.Server] = e.State
+		for _, p := range t.c.peers { // our list knows of it by now, or it has started anew
+			if p != nil && (e.State != brain.Ready || e.BornMs > t.c.now+originMs-settings.Ms(t.c.set.Servers.WarmUp)) {
+				delete(p.inherited, e.Server)
+			}
+		}
 	}
 	t.c.listChanged = t.c.listChanged || form != brain.Failed
 	t.c.module.Listed(form, entries)
@@ -560,7 +630,7 @@
 	}
 	for _, p := range t.users {
 		// A withdrawal holds for all joined proxies; one that held no table with the server was not told.
-		if weight > 0 && o.c.out[server] && !p.out[server] {
+		if weight > 0 && (o.c.out[server] || p.inherited[server] > 0) && !p.out[server] {
 			o.c.withdraw(p, server, true)
 		}
 		o.c.order(p, 1, &order.Order{What: &order.Order_Line{Line: &order.SetLine{Table: uint32(number),
@@ -570,7 +640,7 @@
 
 func (o orderer) Bind(proxy, number int, groups []int) {
 	p, t := o.c.peers[proxy], o.table(number)
-	if p == nil {
+	if p == nil || !p.commanded {
 		return
 	}
 	b := &order.Bind{Table: uint32(number), Lines: slices.Clone(t.lines)}
@@ -585,8 +655,11 @@
 		t.users = append(t.users, p)
 	}
 	for _, l := range t.lines {
-		if o.c.out[l.Server] {
+		if o.c.out[l.Server] || p.inherited[l.Server] > 0 {
 			b.Withdrawn, p.out[l.Server] = append(b.Withdrawn, l.Server), true
+			if o.c.gone(p, l.Server) {
+				b.Going = append(b.Going, l.Server)
+			}
 		}
 	}
 	for g, l := range o.c.levels {
@@ -602,7 +675,7 @@
 		delete(o.c.out, server)
 	}
 	for _, p := range o.c.peers {
-		if p != nil && (out && o.c.holding(p, server) || !out && p.out[server]) {
+		if p != nil && p.commanded && (out && o.c.holding(p, server) || !out && p.out[server] && p.inherited[server] == 0) {
 			o.c.withdraw(p, server, out)
 		}
 	}
@@ -614,7 +687,7 @@
 	}
 	o.c.levels[group] = level{share, retry, true}
 	for _, p := range o.c.peers {
-		if p != nil {
+		if p != nil && p.commanded {
 			o.c.order(p, 1, &order.Order{What: &order.Order_Level{Level: &order.Level{Group: uint32(group), Share: share, Retry: uint32(retry)}}})
 		}
 	}
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -26,6 +28,7 @@
 	"lichenpick/internal/list"
 	"lichenpick/internal/orders"
 	"lichenpick/internal/settings"
+	"lichenpick/internal/store"
 	"lichenpick/proto/order"
 	pb "lichenpick/proto/settings"
 )
@@ -60,6 +63,8 @@
 	refused atomic.Uint64
 	allow   *bart.Table[struct{}]
 	lim     orders.Limits
+	store   *store.Store // nil: nothing is shared
+	marks   chan uint64  // to be written down
 	wakeAt  float64
 	kept    float64 // when the list was last written down
 	status  atomic.Pointer[Status]
@@ -76,6 +81,9 @@
 	LinesMost                    float64 // since the start
 	Joins, Messages, Lines, Sums uint64
 	Unheard, Shed                uint64
+	Commanded                    int // proxies, where several controllers share a fleet
+	Takeovers, Handed, Expired   int
+	Claimless                    bool // not open to claims: drained, or its store cannot be written
 	Endings                      map[orders.Reason]uint64
 	OrderMsP50, OrderMsP99       float64
 	RefusedDials                 uint64
@@ -99,7 +107,14 @@
 	if o.Decider == nil {
 		o.Decider = NewModule(set)
 	}
-	p.core = NewCore(set, o.Decider, uint64(wall.UnixNano()), o.Clock.Mono())
+	p.core = NewCore(set, o.Decider, incarnation(), o.Clock.Mono())
+	if set.Sharing != nil { // without its store a controller must not command
+		if p.store, err = store.Open(set.Sharing.Store, set.Name); err != nil {
+			return fmt.Errorf("sharing refused: %w", err)
+		}
+		defer p.store.Close()
+		p.core.Share(p.store.Mark())
+	}
 	p.publish(true)
 	if path := set.List.Keep; path != "" {
 		u, found, err := list.Restore(path, uint64(wall.UnixMilli()))
@@ -114,6 +129,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return p.accept(ctx, l) })
 	group.Go(func() error { return p.own(ctx) })
+	p.marks = make(chan uint64, 1)
+	group.Go(func() error { return p.reserve(ctx) })
 	group.Go(func() error {
 		return o.Source.Run(ctx, func(u list.Update) {
 			if u.Trouble != "" {
@@ -222,12 +239,45 @@
 func (p *Planner) farewell() {
 	for _, q := range p.core.peers {
 		if q != nil {
+			if q.commanded && p.core.share != nil { // another may take it at once
+				p.Send(q.stream, orders.Release, &order.Release{Epoch: q.epoch})
+			}
 			p.End(q.stream, &orders.Ending{Reason: orders.Stopping})
 		}
 	}
 	p.Log.Info("planner leaves its proxies", "proxies", len(p.core.names))
 }
 
+// incarnation tells this process from any other that bears its name, now or before.
+func incarnation() uint64 {
+	var b [8]byte
+	rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:]) | 1
+}
+
+// reserve writes marks down, away from the core's goroutine: a sync takes milliseconds, or seconds on a busy disk.
+func (p *Planner) reserve(ctx context.Context) error {
+	failed := ""
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case mark := <-p.marks:
+			err := p.store.Reserve(mark)
+			if err != nil && err.Error() != failed {
+				p.Log.Error("the store cannot be written; nothing new is claimed", "error", err)
+				failed = err.Error()
+			} else if err == nil {
+				failed = ""
+			}
+			p.tell(ctx, func() { p.core.Reserved(mark, err) })
+		}
+	}
+}
+
+// Reserve has a mark written down; there is one under way at a time.
+func (p *Planner) Reserve(upTo uint64) { p.marks <- upTo }
+
 // Wake, Send and End carry out the core's decisions, in its goroutine.
 func (p *Planner) Wake(at float64) { p.wakeAt = at }
 
@@ -366,6 +416,9 @@
 func (r *reader) Summed(m *order.Sums) {
 	r.ok = r.p.tell(r.ctx, func() { r.p.core.Summed(r.s.core, m) })
 }
+func (r *reader) Leased(m *order.Lease) {
+	r.ok = r.p.tell(r.ctx, func() { r.p.core.Leased(r.s.core, m) })
+}
 func (r *reader) Answered(m *order.Applied) {
 	r.ok = r.p.tell(r.ctx, func() { r.p.core.Answered(r.s.core, m) })
 }
@@ -434,6 +487,11 @@
 		select {
 		case <-s.done:
 			stop()
+			for s.why.Reason == orders.Stopping && len(s.outbox) > 0 { // a release is among the last words
+				if m := <-s.outbox; !put(m.kind, m.m) {
+					break
+				}
+			}
 			if s.why.Reason != orders.Lost && s.why.Reason != orders.SlowReader {
 				within = byeMs
 				put(orders.Bye, &order.Bye{Reason: string(s.why.Reason)})
@@ -468,6 +526,10 @@
 		Joins: c.Counts.Joins, Messages: c.Counts.Messages, Lines: c.Counts.Lines, Sums: c.Counts.Sums, Unheard: c.Counts.Unheard,
 		Shed: c.Counts.Shed, Endings: map[orders.Reason]uint64{}, OrderMsP50: float64(c.Order.ValueAtQuantile(50)) / 1000,
 		OrderMsP99: float64(c.Order.ValueAtQuantile(99)) / 1000, RefusedDials: p.refused.Load()}
+	if s.Commanded = len(c.names); c.share != nil {
+		s.Commanded, _ = c.share.Held()
+		s.Takeovers, s.Handed, s.Expired, s.Claimless = c.share.Takeovers, c.share.Handed, c.share.Expired, !c.share.Open()
+	}
 	s.Ready, s.Draining, s.Gone = c.memory.Servers()
 	if s.LinesMost = s.LinesPeak; last != nil {
 		s.LinesMost = max(s.LinesPeak, last.LinesMost)
@@ -489,6 +551,8 @@
 			func() float64 { return of(p.status.Load()) }))
 	}
 	gauge("proxies", "Proxies joined.", func(s *Status) float64 { return float64(s.Proxies) })
+	gauge("commanded", "Proxies commanded.", func(s *Status) float64 { return float64(s.Commanded) })
+	gauge("takeovers", "Proxies taken over since the start.", func(s *Status) float64 { return float64(s.Takeovers) })
 	gauge("streams", "Streams open.", func(s *Status) float64 { return float64(s.Streams) })
 	gauge("servers_ready", "Servers listed ready.", func(s *Status) float64 { return float64(s.Ready) })
 	gauge("servers_doubted", "Servers missing from the list and kept for now.", func(s *Status) float64 { return float64(s.Doubted) })
@@ -505,6 +569,14 @@
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(p.status.Load())
 	})
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, r *http.Request) {
+		on := r.URL.Query().Get("on")
+		if p.store == nil || on != "true" && on != "false" {
+			http.Error(w, "wants ?on=true or ?on=false, at a planner that shares its fleet", http.StatusBadRequest)
+			return
+		}
+		p.tell(r.Context(), func() { p.core.Drain(on == "true") })
+	})
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second}
 	group.Go(func() error {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -4,11 +4,13 @@
 package proxy
 
 import (
+	"maps"
 	"math/rand"
 	"slices"
 
 	"lichenpick/brain"
 	"lichenpick/internal/settings"
+	"lichenpick/internal/sharing"
 	"lichenpick/proto/order"
 	pb "lichenpick/proto/settings"
 )
@@ -64,13 +66,22 @@
 	servers map[string]*sum
 	came    []sum // by group: flows that came, and those let in without an answer
 	since   float64
+	arbiter sharing.Arbiter
+	going   map[string]bool // withdrawn as they drain or are gone, by whomever
+	recent  []float64       // times of the last messages of orders
 }
 
+// recentMs and recentMost bound what a proxy remembers of messages; a planner's span for them is seldom longer.
+const (
+	recentMs   = 60000.0
+	recentMost = 1000
+)
+
 // NewCore makes a proxy that goes by its standing table.
 func NewCore(set *pb.Proxy, now float64) *Core {
 	c := &Core{groups: set.Groups, pick: set.Pick, first: set.GetFirstWait(), usual: retryMode(set.DefaultRetry),
 		chance: rand.New(rand.NewSource(int64(set.GetSeed()))), tables: map[uint32]*table{}, out: map[string]bool{},
-		inHand: map[string]int{}, servers: map[string]*sum{}, came: make([]sum, len(set.Groups)), since: now}
+		inHand: map[string]int{}, going: map[string]bool{}, servers: map[string]*sum{}, came: make([]sum, len(set.Groups)), since: now}
 	standing := &table{out: map[string]bool{}}
 	for _, s := range set.Standing {
 		standing.lines = append(standing.lines, &line{server: s, weight: 1})
@@ -129,6 +140,9 @@
 			} else {
 				delete(c.out, w.Withdraw.Server)
 			}
+			if delete(c.going, w.Withdraw.Server); w.Withdraw.Going {
+				c.going[w.Withdraw.Server] = true
+			}
 		case *order.Order_Level:
 			c.setLevel(w.Level)
 		case *order.Order_Receipt:
@@ -138,6 +152,51 @@
 	return receipts
 }
 
+// Claim judges a controller's claim. A fresh one starts over like a new stream: what the proxy holds stays in force until
+// the new commander binds other tables.
+func (c *Core) Claim(now float64, m *order.Claim) (granted, fresh bool) {
+	c.arbiter.Tick(now)
+	before := c.arbiter.Epoch
+	granted = c.arbiter.Claim(m.Controller, m.Incarnation, m.Epoch, float64(m.LeaseMs))
+	if fresh = granted && m.Epoch != before; fresh {
+		c.Welcomed(&order.Welcome{})
+	}
+	return granted, fresh
+}
+
+// Commanded says whether orders under an epoch from a controller are to be obeyed, and remembers those that are.
+func (c *Core) Commanded(now float64, controller string, m *order.Orders) bool {
+	c.arbiter.Tick(now)
+	return c.arbiter.Obeys(controller, m.Incarnation, m.Epoch)
+}
+
+// Met remembers a message of orders, as each counts in its span whoever sent it.
+func (c *Core) Met(now float64) {
+	c.recent = append(c.recent, now)
+	for c.recent[0] <= now-recentMs || len(c.recent) > recentMost {
+		c.recent = c.recent[1:]
+	}
+}
+
+// Word says who commands the proxy; to a fresh commander also what it holds, and what was ordered lately.
+func (c *Core) Word(now float64, fresh bool) *order.Lease {
+	c.arbiter.Tick(now)
+	a := &c.arbiter
+	w := &order.Lease{Epoch: a.Epoch, Controller: a.Controller, Incarnation: a.Incarnation, LeftMs: a.Left()}
+	if !fresh {
+		return w
+	}
+	w.Holds = c.Holds()
+	for g, l := range c.levels {
+		w.Levels = append(w.Levels, &order.Level{Group: uint32(g), Share: l.share, Retry: uint32(l.retry)})
+	}
+	for _, at := range c.recent {
+		w.MessagesAgoMs = append(w.MessagesAgoMs, now-at)
+	}
+	w.Going = slices.Sorted(maps.Keys(c.going))
+	return w
+}
+
 func (c *Core) setLine(number uint32, l *order.Line) {
 	t := c.tables[number]
 	if t == nil {
@@ -172,9 +231,15 @@
 			t.lines = append(t.lines, &line{server: l.Server, weight: l.Weight})
 		}
 	}
+	for _, l := range b.Lines {
+		delete(c.going, l.Server)
+	}
 	for _, s := range b.Withdrawn {
 		c.out[s] = true
 	}
+	for _, s := range b.Going {
+		c.going[s] = true
+	}
 	for _, g := range b.Groups {
 		if int(g) < len(c.slots) {
 			c.slots[g] = t
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,8 @@
 	readBytes  = 16 << 10
 	writeMs    = 2000.0 // ms a frame to a planner may take
 	joinMs     = 2000.0 // ms until a planner's welcome
+	outboxSize = 256    // frames that wait for a planner's socket
+	expiryMs   = 100.0  // ms between looks at the lease, at the latest
 	stopWaitMs = 1000.0 // ms that flows in hand are given when the proxy ends
 )
 
@@ -52,6 +55,7 @@
 	Network  clock.Network
 	Log      *slog.Logger
 	Ready    func(addr net.Addr) // called once it listens; may be nil
+	Unfenced bool                // obeys whatever epoch orders bear: only to prove that this is seen
 }
 
 // Proxy is a running proxy.
@@ -64,6 +68,8 @@
 	groups map[string]int
 	inHand atomic.Int64
 	start  uint64
+
+	sessions []*session // joined ones, where controllers share the fleet
 }
 
 // New makes a proxy that is not running yet.
@@ -270,19 +276,32 @@
 	}
 }
 
-// follow keeps a stream to one planner at a time, and dials the next when it breaks.
+// follow keeps a stream to one planner at a time, and dials the next when it breaks; where controllers share the fleet, it
+// keeps one to each.
 func (p *Proxy) follow(ctx context.Context) error {
+	if !p.Settings.Sharing {
+		return p.keep(ctx, p.Settings.Planners, 0)
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for n, planner := range p.Settings.Planners {
+		group.Go(func() error { return p.keep(ctx, []string{planner}, n) })
+	}
+	group.Go(func() error { return p.expire(ctx) })
+	return group.Wait()
+}
+
+func (p *Proxy) keep(ctx context.Context, planners []string, nth int) error {
 	wait := settings.Ms(p.Settings.Redial)
-	chance := rand.New(rand.NewSource(int64(p.Settings.GetSeed()) + 1))
+	chance := rand.New(rand.NewSource(int64(p.Settings.GetSeed()) + 1 + int64(nth)))
 	told := ""
 	for n, streams := 0, uint64(1); ctx.Err() == nil; streams++ {
-		joined, err := p.stream(ctx, p.Settings.Planners[n%len(p.Settings.Planners)], streams)
+		joined, err := p.stream(ctx, planners[n%len(planners)], streams)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if cause := err.Error(); joined || cause != told { // not at each dial
 			told = cause
-			p.Log.Info("no planner; going by the tables at hand", "proxy", p.Settings.Name, "cause", err)
+			p.Log.Info("no planner; going by the tables at hand", "proxy", p.Settings.Name, "planner", planners[n%len(planners)], "cause", err)
 		}
 		if !joined || errors.As(err, new(*orders.Ending)) {
 			n++
@@ -294,27 +313,154 @@
 	return nil
 }
 
-// session is one stream to a planner.
+// expire tells all controllers when a lease runs out.
+func (p *Proxy) expire(ctx context.Context) error {
+	for {
+		p.mu.Lock()
+		now := p.Clock.Mono()
+		if p.core.arbiter.Tick(now) {
+			p.spread(nil)
+		}
+		wait := expiryMs
+		if left := p.core.arbiter.Left(); left > 0 {
+			wait = min(left+1, expiryMs)
+		}
+		p.mu.Unlock()
+		if clock.Sleep(ctx, p.Clock, wait) != nil {
+			return nil
+		}
+	}
+}
+
+// session is one stream to a planner. What it shares with others is guarded by the proxy's lock.
 type session struct {
-	p      *Proxy
-	joined bool
-	answer []*order.Applied
+	p          *Proxy
+	out        chan outgoing
+	broken     chan struct{} // closed when its outbox is full
+	once       sync.Once
+	joined     bool
+	controller string
+	process    uint64
+	open       bool // to claims
+	refused    error
+}
+
+type outgoing struct {
+	kind orders.Kind
+	m    proto.Message
+}
+
+// put queues a frame. It must not wait, as it is called with the proxy's lock held.
+func (s *session) put(kind orders.Kind, m proto.Message) {
+	select {
+	case s.out <- outgoing{kind, m}:
+	default:
+		s.once.Do(func() { close(s.broken) })
+	}
 }
 
 func (s *session) Welcomed(w *order.Welcome) {
-	s.joined = true
-	s.p.mu.Lock()
-	s.p.core.Welcomed(w)
-	s.p.mu.Unlock()
-	s.answer = append(s.answer, &order.Applied{})
+	p := s.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w.Sharing != p.Settings.Sharing {
+		s.refused = errors.New("'sharing' is set at one side only")
+		return
+	}
+	s.joined, s.controller, s.process = true, w.Planner, w.Incarnation
+	if !p.Settings.Sharing {
+		p.core.Welcomed(w)
+		s.put(orders.Applied, &order.Applied{})
+		return
+	}
+	s.open = true
+	p.sessions = append(p.sessions, s)
+	p.spread(nil)
 }
 
 func (s *session) Ordered(m *order.Orders) {
-	s.p.mu.Lock()
-	receipts := s.p.core.Ordered(m)
-	s.p.tidy()
-	s.p.mu.Unlock()
-	s.answer = append(s.answer, &order.Applied{Number: m.Number, Receipts: receipts})
+	p := s.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Mono()
+	p.core.Met(now)
+	if p.Settings.Sharing && !p.core.Commanded(now, s.controller, m) && !p.Unfenced {
+		s.put(orders.Applied, &order.Applied{Number: m.Number, Refused: true})
+		return
+	}
+	receipts := p.core.Ordered(m)
+	p.tidy()
+	s.put(orders.Applied, &order.Applied{Number: m.Number, Receipts: receipts})
+}
+
+func (s *session) Claimed(m *order.Claim) {
+	p := s.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.Settings.Sharing || m.Controller != s.controller || m.Incarnation != s.process {
+		s.refused = errors.New("a claim in another's name")
+		return
+	}
+	now := p.Clock.Mono()
+	before := p.core.arbiter.Controller
+	granted, fresh := p.core.Claim(now, m)
+	w := p.word(now, fresh)
+	w.Nonce, w.Granted = m.Nonce, granted
+	s.put(orders.Lease, w)
+	if before != p.core.arbiter.Controller {
+		p.spread(s)
+	}
+}
+
+func (s *session) Released(m *order.Release) {
+	p := s.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.arbiter.Tick(p.Clock.Mono())
+	if p.core.arbiter.Release(s.controller, s.process, m.Epoch) {
+		p.spread(nil)
+	}
+}
+
+func (s *session) Stood(m *order.Standing) {
+	p := s.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s.open != m.Open {
+		s.open = m.Open
+		p.spread(nil)
+	}
+}
+
+// word is the proxy's word with the controllers that it can reach; the lock is held.
+func (p *Proxy) word(now float64, fresh bool) *order.Lease {
+	w := p.core.Word(now, fresh)
+	for _, s := range p.sessions {
+		if s.open {
+			w.Reachable = append(w.Reachable, s.controller)
+		}
+	}
+	return w
+}
+
+// spread tells all controllers but one who commands the proxy; the lock is held.
+func (p *Proxy) spread(but *session) {
+	w := p.word(p.Clock.Mono(), false)
+	for _, s := range p.sessions {
+		if s != but {
+			s.put(orders.Lease, w)
+		}
+	}
+}
+
+// leave ends a session's part in the sharing.
+func (p *Proxy) leave(s *session) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := slices.Index(p.sessions, s); n >= 0 {
+		p.sessions = slices.Delete(p.sessions, n, n+1)
+		p.spread(nil)
+	}
 }
 
 func (p *Proxy) stream(ctx context.Context, planner string, streams uint64) (joined bool, err error) {
@@ -327,60 +473,41 @@
 	defer conn.Close()
 	end := orders.NewProxyEnd(orders.Limits{FrameBytes: int(p.Settings.GetFrameBytes()), JoinWithin: joinMs,
 		SilentAfter: settings.Ms(p.Settings.SilentAfter)}, p.Clock.Mono())
+	s := &session{p: p, out: make(chan outgoing, outboxSize), broken: make(chan struct{})}
 	p.mu.Lock()
 	join := &order.Join{Proxy: p.Settings.Name, Zone: p.Settings.Zone, UsualPerS: settings.PerS(p.Settings.Usual), Incarnation: p.start,
-		Stream: streams, Standing: !p.core.bound, Holds: p.core.Holds(), Groups: uint32(len(p.Settings.Groups))}
-	p.mu.Unlock()
-	var writing sync.Mutex
-	put := func(kind orders.Kind, m proto.Message) error {
-		writing.Lock()
-		defer writing.Unlock()
-		frame, err := end.Append(nil, kind, m)
-		if err != nil {
-			return err
-		}
-		conn.SetWriteDeadline(p.Clock.Deadline(writeMs))
-		_, err = conn.Write(frame)
-		return err
-	}
-	if err := put(orders.Join, join); err != nil {
-		return false, err
+		Stream: streams, Standing: !p.core.bound, Groups: uint32(len(p.Settings.Groups))}
+	if p.Settings.Sharing {
+		join.Lease = p.word(p.Clock.Mono(), false)
+	} else {
+		join.Holds = p.core.Holds()
 	}
+	p.mu.Unlock()
+	s.put(orders.Join, join)
 	streaming, stop := context.WithCancel(ctx)
-	var reports sync.WaitGroup
+	var writer sync.WaitGroup
+	writer.Add(1)
+	go func() {
+		defer writer.Done()
+		p.write(streaming, ctx, s, conn, end)
+	}()
 	defer func() {
 		stop()
 		conn.Close()
-		reports.Wait()
+		writer.Wait()
+		p.leave(s)
 	}()
-	defer context.AfterFunc(ctx, func() {
-		put(orders.Bye, &order.Bye{Reason: "the proxy ends"})
-		conn.Close()
-	})()
-	s := &session{p: p}
 	buf := make([]byte, readBytes)
 	for {
 		conn.SetReadDeadline(p.Clock.Deadline(max(end.Due()-p.Clock.Mono(), 1)))
 		n, err := conn.Read(buf)
 		end.Feed(p.Clock.Mono(), buf[:n])
-		was := s.joined
-		for end.Next(s) {
-		}
-		if s.joined && !was {
-			reports.Add(1)
-			go func() {
-				defer reports.Done()
-				p.report(streaming, put)
-			}()
-		}
-		for _, a := range s.answer {
-			if err := put(orders.Applied, a); err != nil {
-				return s.joined, err
-			}
+		for s.refused == nil && end.Next(s) {
 		}
-		s.answer = s.answer[:0]
 		var timeout net.Error
 		switch {
+		case s.refused != nil:
+			return false, s.refused
 		case end.Ended() != nil:
 			return s.joined, end.Ended()
 		case err != nil && !(errors.As(err, &timeout) && timeout.Timeout()):
@@ -389,18 +516,61 @@
 	}
 }
 
-// report sends sums as long as the stream lasts. They start at a moment drawn by the proxy's seed, as all proxies
-// would otherwise report at once after a planner's restart.
-func (p *Proxy) report(ctx context.Context, put func(orders.Kind, proto.Message) error) {
+// write sends what is queued, and sums every while: to the planner that commands the proxy. The first come at a moment
+// drawn by the proxy's seed, as all proxies would otherwise report at once after a planner's restart.
+func (p *Proxy) write(streaming, proxy context.Context, s *session, conn net.Conn, end *orders.ProxyEnd) {
+	defer conn.Close()
+	var buf []byte
+	put := func(kind orders.Kind, m proto.Message) bool {
+		var err error
+		if buf, err = end.Append(buf[:0], kind, m); err != nil {
+			return false
+		}
+		conn.SetWriteDeadline(p.Clock.Deadline(writeMs))
+		_, err = conn.Write(buf)
+		return err == nil
+	}
 	every := settings.Ms(p.Settings.ReportEvery)
-	wait := every * rand.New(rand.NewSource(int64(p.start))).Float64()
-	for clock.Sleep(ctx, p.Clock, wait) == nil {
-		wait = every
-		p.mu.Lock()
-		m := p.core.Sums(p.Clock.Mono())
-		p.mu.Unlock()
-		if put(orders.Sums, m) != nil {
+	next := p.Clock.Mono() + every*rand.New(rand.NewSource(int64(p.start))).Float64()
+	for {
+		fired, stop := p.Clock.After(next - p.Clock.Mono())
+		select {
+		case <-streaming.Done():
+			stop()
+			if proxy.Err() != nil {
+				put(orders.Bye, &order.Bye{Reason: "the proxy ends"})
+			}
+			return
+		case <-s.broken:
+			stop()
 			return
+		case m := <-s.out:
+			stop()
+			if !put(m.kind, m.m) {
+				return
+			}
+		case <-fired:
+			next = p.Clock.Mono() + every
+			if kind, m := p.report(s); kind != 0 && !put(kind, m) {
+				return
+			}
+		}
+	}
+}
+
+// report gives what is to be said to a planner now: sums if it commands the proxy, else that the proxy lives.
+func (p *Proxy) report(s *session) (orders.Kind, proto.Message) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !s.joined {
+		return 0, nil
+	}
+	now := p.Clock.Mono()
+	if p.Settings.Sharing {
+		p.core.arbiter.Tick(now)
+		if a := &p.core.arbiter; a.Controller != s.controller || a.Incarnation != s.process {
+			return orders.Beat, nil
 		}
 	}
+	return orders.Sums, p.core.Sums(now)
 }
--- a/internal/sharing/arbiter.go
+++ b/internal/sharing/arbiter.go
@@ -9,16 +9,16 @@
 
 // All constants of package sharing.
 const (
-	LeaseMs      = 2000.0  // ms; how long a proxy is without a commander after one died, at the most, less a claim's way
-	renewMs      = 400.0   // ms between renewals; four may be lost before a lease ends
-	rateBound    = 0.1     // part by which two clocks may run apart; quartz keeps 0.0001, a paused machine does not count
-	marginMs     = 20.0    // ms of a lease that its holder does not use; a decision in hand is sent within that
-	staggerMs    = 150.0   // ms by which each next in rank waits to claim; a claim's way and answer take a tenth of it
-	answerMs     = 600.0   // ms until a claim that was not answered is made again
-	settledMs    = 3000.0  // ms that a better placed controller must be reachable before it is handed proxies
-	handPerS     = 20.0    // proxies a second that are handed over; each brings its successor a table to send
-	reserveAhead = 1000    // epochs that one write to the store covers; a takeover of so many proxies costs one
-	memoryMs     = 30000.0 // ms that a drain known by a predecessor is kept while one's own list does not show it
+	LeaseMs       = 2000.0  // ms; how long a proxy is without a commander after one died, at the most, less a claim's way
+	renewMs       = 400.0   // ms between renewals; four may be lost before a lease ends
+	rateBound     = 0.1     // part by which two clocks may run apart; quartz keeps 0.0001, a paused machine does not count
+	marginMs      = 20.0    // ms of a lease that its holder does not use; a decision in hand is sent within that
+	staggerMs     = 150.0   // ms by which each next in rank waits to claim; a claim's way and answer take a tenth of it
+	answerMs      = 600.0   // ms until a claim that was not answered is made again
+	settledMs     = 3000.0  // ms that a better placed controller must be reachable before it is handed proxies
+	handPerS      = 20.0    // proxies a second that are handed over; each brings its successor a table to send
+	reserveAhead  = 1000    // epochs that one write to the store covers; a takeover of so many proxies costs one
+	DrainMemoryMs = 30000.0 // ms that a drain known by a predecessor is kept while one's own list does not show it
 )
 
 // Lease is what a proxy has granted.
--- a/internal/sharing/sharer.go
+++ b/internal/sharing/sharer.go
@@ -214,6 +214,9 @@
 	return h.epoch, true
 }
 
+// Open says whether this controller takes proxies.
+func (s *Sharer) Open() bool { return !s.draining && !s.unable }
+
 // Held counts the proxies that are believed to be ours, and all that have a stream.
 func (s *Sharer) Held() (ours, all int) {
 	for _, h := range s.order {
@@ -228,7 +231,7 @@
 func (s *Sharer) Next(h Host) bool {
 	if !s.told {
 		s.told = true
-		h.Stand(!s.draining && !s.unable)
+		h.Stand(s.Open())
 		return true
 	}
 	if s.unable && s.reserve(s.used+1, h) {
--- a/internal/standin/swarm.go
+++ b/internal/standin/swarm.go
@@ -117,6 +117,7 @@
 
 // member is one proxy of a swarm, on one stream.
 type member struct {
+	orders.Unshared
 	s       *Swarm
 	core    *proxy.Core
 	answers []*order.Applied
