Rehearsal of a takeover: three controllers as processes, paused, killed, cut off and drained

Sharing had not been seen on sockets. A script may run several controllers, each as a process behind its own relay, so that SIGSTOP and SIGKILL are real; the checker gains one-commander and no-stale-order, from proxies' own grants and answers.

--- a/cmd/lichenpick/rehearse.go
+++ b/cmd/lichenpick/rehearse.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"os/exec"
 	"runtime"
 
 	"github.com/spf13/cobra"
@@ -12,6 +14,17 @@
 	"lichenpick/proto/script"
 )
 
+// spawn runs this program as a planner, which logs what is out of order to this one's standard error.
+func spawn(file string) *exec.Cmd {
+	self, err := os.Executable()
+	if err != nil {
+		self = os.Args[0]
+	}
+	cmd := exec.Command(self, "planner", "-c", file, "--log-level", "error")
+	cmd.Stderr = os.Stderr
+	return cmd
+}
+
 func rehearseCommand() *cobra.Command {
 	var report, level, form string
 	c := &cobra.Command{Use: "rehearse SCRIPT", Short: "Play a scripted day on loopback and judge the rules", Args: exactly(1),
@@ -27,7 +40,7 @@
 				return err
 			}
 			machine := fmt.Sprintf("%s/%s, %d cores, %s", runtime.GOOS, runtime.GOARCH, runtime.NumCPU(), runtime.Version())
-			r, err := rehearsal.Play(c.Context(), s, machine, log)
+			r, err := rehearsal.Play(c.Context(), s, machine, log, spawn)
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/internal/rehearsal/control.go
@@ -0,0 +1,277 @@
+package rehearsal
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"lichenpick/internal/clock"
+	"lichenpick/internal/list"
+	"lichenpick/internal/orders"
+	"lichenpick/internal/planner"
+	"lichenpick/internal/settings"
+	"lichenpick/internal/standin"
+	"lichenpick/internal/store"
+	pb "lichenpick/proto/settings"
+)
+
+// control is a planner with its relays: in this process where there is one, else in its own, so that it can be paused
+// and killed.
+type control struct {
+	f         *fleet
+	name      string
+	relay     *standin.Relay // between proxies and it
+	listRelay *standin.Relay // between the list and it
+	node      *node          // stands for it in link rules
+	status    string         // address, of a process
+
+	stop  func() // ends the one in this process
+	ended chan struct{}
+	cmd   *exec.Cmd
+}
+
+func (f *fleet) planners() int {
+	if f.hooks.Single || f.hooks.Baseline != "" {
+		return 1
+	}
+	return int(f.script.GetControllers())
+}
+
+func (f *fleet) shared() bool { return f.script.Sharing && f.planners() > 1 && !f.hooks.Apart }
+
+func (f *fleet) newControl(ctx context.Context, n int, registry string) (*control, error) {
+	c := &control{f: f, name: fmt.Sprintf("planner-%d", n+1)}
+	c.node = &node{control: c, zone: -1}
+	c.listRelay = &standin.Relay{Clock: f.clock, Network: f.net, Watch: func(netip.Addr) standin.Watch {
+		return &listWatch{j: f.judge, planner: c.name, down: orders.NewDecoder(watchedFrame)}
+	}}
+	if _, err := c.listRelay.Start(ctx, "127.0.0.1:0", registry); err != nil {
+		return nil, err
+	}
+	c.relay = &standin.Relay{Clock: f.clock, Network: f.net, Watch: func(netip.Addr) standin.Watch { return newStreamWatch(f.judge, c.name) }}
+	_, err := c.relay.Start(ctx, "127.0.0.1:0", "")
+	return c, err
+}
+
+func (c *control) settings() (*pb.Planner, error) {
+	f, s := c.f, c.f.script
+	proxies, planners := uint32(f.count()), uint32(f.planners())
+	set := &pb.Planner{Name: c.name, Listen: "127.0.0.1:0", Groups: s.Groups, Channel: s.Channel, Reports: s.Reports, Servers: s.Limits,
+		Streams: &pb.Streams{}, Proxies: &proxies, Planners: proto.Uint32(min(planners, proxies)),
+		List: &pb.ListSource{Keep: filepath.Join(f.dir, c.name+"-list.txtpb"),
+			From: &pb.ListSource_Stream{Stream: &pb.StreamList{Address: c.listRelay.Address(), Redial: "200ms"}}},
+		Dump: filepath.Join(f.dir, c.name+"-dump.txt")}
+	for n, p := range s.Places {
+		set.Zones = append(set.Zones, &pb.Zone{Name: p.Name, Prefixes: []string{fmt.Sprintf("127.%d.0.0/16", n+1)}})
+	}
+	if f.shared() {
+		set.Sharing = &pb.Sharing{Store: filepath.Join(f.dir, c.name+".store")}
+	}
+	if f.hooks.Planner != nil {
+		f.hooks.Planner(set)
+	}
+	// Read back through the check, which fills in what the script leaves to the settings' own defaults.
+	full := &pb.Planner{}
+	return full, settings.Parse(c.name+" of the rehearsal", []byte(settings.Print(set)), full)
+}
+
+func (c *control) start(ctx context.Context) error {
+	set, err := c.settings()
+	if err != nil {
+		return err
+	}
+	if c.f.planners() > 1 {
+		return c.spawn(ctx, set)
+	}
+	return c.inside(ctx, set)
+}
+
+// inside runs a planner in this process.
+func (c *control) inside(ctx context.Context, set *pb.Planner) error {
+	f := c.f
+	decider := planner.NewModule(set)
+	if f.hooks.Baseline != "" {
+		decider = newEven(f.hooks.Baseline == "size", len(set.Groups))
+	}
+	if f.hooks.Decider != nil {
+		decider = f.hooks.Decider(decider)
+	}
+	running, cancel := context.WithCancel(ctx)
+	ready, failed, ended := make(chan net.Addr, 1), make(chan error, 1), make(chan struct{})
+	f.group.Go(func() error {
+		defer close(ended)
+		err := planner.Run(running, planner.Options{Settings: set, Clock: f.clock, Network: f.net, Log: f.log, Decider: decider,
+			Source: &list.Stream{Address: c.listRelay.Address(), RedialMs: 200, SilentMs: 5000, FrameBytes: 16 << 20, Clock: f.clock, Network: f.net},
+			Ready:  func(a net.Addr) { ready <- a }, Status: c.keep})
+		if err != nil {
+			failed <- err
+		}
+		return err
+	})
+	c.stop, c.ended = cancel, ended
+	select {
+	case a := <-ready:
+		c.relay.Target(a.String())
+		return nil
+	case err := <-failed:
+		cancel()
+		return err
+	case <-ctx.Done():
+		cancel()
+		return ctx.Err()
+	}
+}
+
+func (c *control) keep(s *planner.Status) {
+	c.f.mu.Lock()
+	c.f.status = append(c.f.status, s)
+	c.f.mu.Unlock()
+}
+
+// free gives an address that nobody listens at now.
+func free() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// spawn runs a planner in a process of its own.
+func (c *control) spawn(ctx context.Context, set *pb.Planner) (err error) {
+	if c.f.hooks.Spawn == nil {
+		return errors.New("several controllers need a way to run them as processes")
+	}
+	if set.Listen, err = free(); err != nil {
+		return err
+	}
+	if set.Status, err = free(); err != nil {
+		return err
+	}
+	if set.Sharing != nil {
+		if err := store.Init(set.Sharing.Store, set.Name); err != nil && !errors.Is(err, store.ErrExists) {
+			return err
+		}
+	}
+	file := filepath.Join(c.f.dir, c.name+".txtpb")
+	if err := os.WriteFile(file, []byte(settings.Print(set)), 0o600); err != nil {
+		return err
+	}
+	cmd := c.f.hooks.Spawn(file)
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	c.cmd, c.ended, c.status = cmd, ended, set.Status
+	go func() {
+		cmd.Wait()
+		close(ended)
+	}()
+	for {
+		if _, err := c.ask(ctx); err == nil {
+			c.relay.Target(set.Listen)
+			return nil
+		}
+		select {
+		case <-ended:
+			return fmt.Errorf("%s ended at its start: %v", c.name, cmd.ProcessState)
+		default:
+		}
+		if err := clock.Sleep(ctx, c.f.clock, 20); err != nil {
+			cmd.Process.Kill()
+			return err
+		}
+	}
+}
+
+// ask reads a process's status.
+func (c *control) ask(ctx context.Context) (*planner.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.status+"/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	s := &planner.Status{}
+	return s, json.NewDecoder(resp.Body).Decode(s)
+}
+
+// drain asks a process to hand its proxies over, or to take part again.
+func (c *control) drain(on bool) error {
+	resp, err := http.Post(fmt.Sprintf("http://%s/drain?on=%t", c.status, on), "", nil)
+	if err != nil {
+		return err
+	}
+	resp.Body.Close()
+	return nil
+}
+
+// end stops the planner: by a goodbye, or without a word after some bytes of each stream.
+func (c *control) end(kill bool, after int) {
+	f := c.f
+	relinked := func() {}
+	if kill && after > 0 {
+		relinked = f.link(func(_ netip.Addr, to *node) standin.Link { return standin.Link{Cut: to == c.node, After: after} })
+		clock.Sleep(context.Background(), f.clock, 50)
+	}
+	switch {
+	case c.cmd != nil:
+		if s, err := c.ask(context.Background()); err == nil {
+			c.keep(s)
+		}
+		signal := syscall.SIGTERM
+		if kill {
+			signal = syscall.SIGKILL
+		}
+		c.cmd.Process.Signal(signal)
+	default:
+		if kill && after == 0 {
+			relinked = f.link(func(_ netip.Addr, to *node) standin.Link { return standin.Link{Cut: to == c.node} })
+		}
+		c.stop()
+	}
+	<-c.ended
+	if c.cmd != nil {
+		p := c.cmd.ProcessState
+		f.mu.Lock()
+		f.cpuMs += float64(p.UserTime()+p.SystemTime()) / float64(time.Millisecond)
+		f.mu.Unlock()
+	}
+	c.relay.Break(func(netip.Addr) bool { return true })
+	relinked()
+	f.judge.mu.Lock()
+	f.judge.checker.PlannerGone(c.name, f.clock.Mono())
+	f.judge.mu.Unlock()
+}
+
+// finish ends all processes that still run, at the end of a day.
+func (f *fleet) finish() {
+	for _, c := range f.controls {
+		if c.cmd == nil {
+			continue
+		}
+		select {
+		case <-c.ended:
+		default:
+			c.cmd.Process.Signal(syscall.SIGCONT)
+			c.end(false, 0)
+		}
+	}
+}
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -10,27 +10,22 @@
 	"math/rand"
 	"net"
 	"net/netip"
-	"path/filepath"
+	"os/exec"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"lichenpick/internal/clock"
-	"lichenpick/internal/list"
-	"lichenpick/internal/orders"
 	"lichenpick/internal/planner"
 	"lichenpick/internal/proxy"
 	"lichenpick/internal/rules"
 	"lichenpick/internal/settings"
 	"lichenpick/internal/standin"
-	"lichenpick/proto/order"
 	"lichenpick/proto/script"
 	pb "lichenpick/proto/settings"
 )
 
-const plannerName = "planner-1"
-
 // node is a server with its relay, under the address that the list shows.
 type node struct {
 	name    string
@@ -42,10 +37,15 @@
 	size    float64
 	fault   standin.Fault
 	taken   bool // a trouble has it
+	control *control
 }
 
 // Hooks plant faults, to prove that the checker sees them.
 type Hooks struct {
+	Spawn    func(file string) *exec.Cmd           // runs a planner as a process, with log to standard error; needed for more than one
+	Unfenced bool                                  // proxies do not check epochs
+	Single   bool                                  // one planner, whatever the script says
+	Apart    bool                                  // several that share nothing
 	Decider  func(planner.Decider) planner.Decider // wraps what decides
 	Proxy    func(set *pb.Proxy)
 	Planner  func(set *pb.Planner)
@@ -54,20 +54,20 @@
 
 // fleet is one running day.
 type fleet struct {
-	script *script.Script
-	hooks  Hooks
-	clock  clock.Clock
-	net    clock.Network
-	log    *slog.Logger
-	chance *rand.Rand
-	dir    string
-	judge  *judge
-	group  *errgroup.Group
+	script  *script.Script
+	hooks   Hooks
+	clock   clock.Clock
+	net     clock.Network
+	log     *slog.Logger
+	chance  *rand.Rand
+	dir     string
+	judge   *judge
+	group   *errgroup.Group
+	running context.Context // of the whole day
 
-	registry     *standin.Registry
-	listRelay    *standin.Relay
-	plannerRelay *standin.Relay
-	crowd        *standin.Crowd
+	registry *standin.Registry
+	controls []*control
+	crowd    *standin.Crowd
 
 	mu      sync.Mutex
 	nodes   []*node
@@ -76,13 +76,11 @@
 	links   map[int]linkRule
 	rule    int
 	replica int
-	stopper func() // ends the planner that runs now
-	ended   chan struct{}
 	status  []*planner.Status
-	refused error
+	cpuMs   float64 // of planners that run as processes
 }
 
-// linkRule says what is wrong with links from a zone's address to a server's zone, or to the planner.
+// linkRule says what is wrong with links from a zone's address to a server, or to a planner: a node with a control.
 type linkRule func(from netip.Addr, to *node) standin.Link
 
 func zoneAddress(zone int) string { return fmt.Sprintf("127.%d.0.1", zone+1) }
@@ -124,18 +122,12 @@
 
 // start brings up everything but the clients.
 func (f *fleet) start(ctx context.Context, group *errgroup.Group) error {
-	f.group = group
+	f.group, f.running = group, ctx
 	f.registry = &standin.Registry{Clock: f.clock, LateMs: settings.Ms(f.script.ListedLate)}
 	at, err := f.registry.Start(ctx, f.net)
 	if err != nil {
 		return err
 	}
-	f.listRelay = &standin.Relay{Clock: f.clock, Network: f.net, Watch: func(netip.Addr) standin.Watch {
-		return &listWatch{j: f.judge, planner: plannerName, down: orders.NewDecoder(watchedFrame)}
-	}}
-	if _, err = f.listRelay.Start(ctx, "127.0.0.1:0", at); err != nil {
-		return err
-	}
 	for zone, p := range f.script.Places {
 		for range p.GetServers() {
 			if _, err := f.add(ctx, zone, false); err != nil {
@@ -143,12 +135,17 @@
 			}
 		}
 	}
-	f.plannerRelay = &standin.Relay{Clock: f.clock, Network: f.net, Watch: func(netip.Addr) standin.Watch { return newStreamWatch(f.judge, plannerName) }}
-	if _, err := f.plannerRelay.Start(ctx, "127.0.0.1:0", ""); err != nil {
-		return err
+	for n := range f.planners() {
+		c, err := f.newControl(ctx, n, at)
+		if err != nil {
+			return err
+		}
+		f.controls = append(f.controls, c)
 	}
-	if err := f.startPlanner(ctx); err != nil {
-		return err
+	for _, c := range f.controls {
+		if err := c.start(ctx); err != nil {
+			return err
+		}
 	}
 	return f.startProxies(ctx)
 }
@@ -226,8 +223,8 @@
 	for _, n := range f.nodes {
 		n.relay.Set(join(n))
 	}
-	if f.plannerRelay != nil {
-		f.plannerRelay.Set(join(nil))
+	for _, c := range f.controls {
+		c.relay.Set(join(c.node))
 	}
 }
 
@@ -246,99 +243,8 @@
 	}
 }
 
-func (f *fleet) plannerSettings() *pb.Planner {
-	s := f.script
-	proxies := uint32(0)
-	set := &pb.Planner{Name: plannerName, Listen: "127.0.0.1:0", Groups: s.Groups, Channel: s.Channel, Reports: s.Reports, Servers: s.Limits,
-		Streams: &pb.Streams{}, List: &pb.ListSource{Keep: filepath.Join(f.dir, "list.txtpb"),
-			From: &pb.ListSource_Stream{Stream: &pb.StreamList{Address: "127.0.0.1:1", Redial: "200ms"}}},
-		Dump: filepath.Join(f.dir, "dump.txt")}
-	for n, p := range s.Places {
-		proxies += p.GetProxies()
-		set.Zones = append(set.Zones, &pb.Zone{Name: p.Name, Prefixes: []string{fmt.Sprintf("127.%d.0.0/16", n+1)}})
-	}
-	set.Proxies = &proxies
-	if f.hooks.Planner != nil {
-		f.hooks.Planner(set)
-	}
-	return set
-}
-
-// startPlanner runs a planner and points the proxies' way at it.
-func (f *fleet) startPlanner(ctx context.Context) error {
-	set := &pb.Planner{}
-	// Read back through the check, which fills in what the script leaves to the settings' own defaults.
-	if err := settings.Parse("planner of the rehearsal", []byte(settings.Print(f.plannerSettings())), set); err != nil {
-		return err
-	}
-	var decider planner.Decider
-	switch f.hooks.Baseline {
-	case "":
-		decider = planner.NewModule(set)
-	default:
-		decider = newEven(f.hooks.Baseline == "size", len(set.Groups))
-	}
-	if f.hooks.Decider != nil {
-		decider = f.hooks.Decider(decider)
-	}
-	running, cancel := context.WithCancel(ctx)
-	ready := make(chan net.Addr, 1)
-	failed := make(chan error, 1)
-	ended := make(chan struct{})
-	f.group.Go(func() error {
-		defer close(ended)
-		err := planner.Run(running, planner.Options{Settings: set, Clock: f.clock, Network: f.net, Log: f.log, Decider: decider,
-			Source: &list.Stream{Address: f.listRelay.Address(), RedialMs: 200, SilentMs: 5000, FrameBytes: 16 << 20, Clock: f.clock, Network: f.net},
-			Ready:  func(a net.Addr) { ready <- a },
-			Status: func(s *planner.Status) {
-				f.mu.Lock()
-				f.status = append(f.status, s)
-				f.mu.Unlock()
-			}})
-		if err != nil {
-			failed <- err
-		}
-		return err
-	})
-	select {
-	case a := <-ready:
-		f.plannerRelay.Target(a.String())
-	case err := <-failed:
-		cancel()
-		return err
-	case <-ctx.Done():
-		cancel()
-		return ctx.Err()
-	}
-	f.mu.Lock()
-	f.stopper, f.ended = cancel, ended
-	f.mu.Unlock()
-	return nil
-}
-
-// stopPlanner ends the planner, by a goodbye or without a word after some bytes of each stream.
-func (f *fleet) stopPlanner(kill bool, after int) {
-	f.mu.Lock()
-	stop, ended := f.stopper, f.ended
-	f.mu.Unlock()
-	relinked := func() {}
-	if kill {
-		relinked = f.link(func(_ netip.Addr, to *node) standin.Link { return standin.Link{Cut: to == nil, After: after} })
-		if after > 0 {
-			clock.Sleep(context.Background(), f.clock, 50)
-		}
-	}
-	stop()
-	<-ended
-	f.plannerRelay.Break(func(netip.Addr) bool { return true })
-	relinked()
-	f.judge.mu.Lock()
-	f.judge.checker.PlannerGone(plannerName, f.clock.Mono())
-	f.judge.mu.Unlock()
-}
-
 func (f *fleet) startProxies(ctx context.Context) error {
-	var all []*order.Listing_Entry = f.registry.Entries()
+	all := f.registry.Entries()
 	for zone, p := range f.script.Places {
 		var near []string
 		var any []string
@@ -351,8 +257,12 @@
 			near = any
 		}
 		for k := range p.GetProxies() {
+			var planners []string // its own first, where nothing is shared
+			for n := range f.controls {
+				planners = append(planners, f.controls[(len(f.proxies)+n)%len(f.controls)].relay.Address())
+			}
 			set := &pb.Proxy{Name: fmt.Sprintf("edge-%s-%d", p.Name, k), Listen: zoneAddress(zone) + ":0", Zone: p.Name, From: zoneAddress(zone),
-				Planners: []string{f.plannerRelay.Address()}, Groups: cloneGroups(f.script.Groups), Pick: f.script.Pick, ReportEvery: f.script.Reports.Every,
+				Planners: planners, Sharing: f.shared(), Groups: cloneGroups(f.script.Groups), Pick: f.script.Pick, ReportEvery: f.script.Reports.Every,
 				ConnectionIdle: f.script.Limits.ConnectionIdle, Seed: proto.Uint64(uint64(f.chance.Int63())),
 				Usual: fmt.Sprintf("%g/s", max(settings.PerS(f.script.Traffic.Rate)/float64(max(f.count(), 1)), 0.001))}
 			for _, i := range f.chance.Perm(len(near))[:min(int(f.script.GetStanding()), len(near))] {
@@ -366,7 +276,8 @@
 				return err
 			}
 			ready := make(chan net.Addr, 1)
-			x := proxy.New(proxy.Options{Settings: full, Clock: f.clock, Network: f.net, Log: f.log, Ready: func(a net.Addr) { ready <- a }})
+			x := proxy.New(proxy.Options{Settings: full, Clock: f.clock, Network: f.net, Log: f.log, Unfenced: f.hooks.Unfenced,
+				Ready: func(a net.Addr) { ready <- a }})
 			failed := make(chan error, 1)
 			f.group.Go(func() error {
 				err := x.Run(ctx)
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -9,6 +9,8 @@
 	"log/slog"
 	"maps"
 	"os"
+	"os/exec"
+	"slices"
 	"text/tabwriter"
 
 	"golang.org/x/sync/errgroup"
@@ -50,6 +52,31 @@
 	Fell        int            // cold servers pushed over
 	Servers     int
 	Proxies     int
+
+	// Where controllers share the fleet: proxies that were granted anew after the day began, how long they had no commander,
+	// in ms, and messages that they refused as past.
+	Takeovers                  int
+	BareP50, BareP99, BareMost float64
+	Refused                    int
+	CPUMs                      float64 // of planners that ran as processes
+}
+
+// takeovers sums up those after each proxy's first.
+func (d *Day) takeovers(all []rules.Takeover) {
+	first := map[string]bool{}
+	var bare []float64
+	for _, t := range all {
+		if first[t.Proxy] {
+			bare = append(bare, max(t.AtMs-t.FreeMs, 0))
+		}
+		first[t.Proxy] = true
+	}
+	if d.Takeovers = len(bare); len(bare) == 0 {
+		return
+	}
+	slices.Sort(bare)
+	at := func(q float64) float64 { return bare[int(q*float64(len(bare)-1))] }
+	d.BareP50, d.BareP99, d.BareMost = at(0.5), at(0.99), at(1)
 }
 
 // Report is a rehearsal's result.
@@ -65,9 +92,11 @@
 }
 
 // Play runs a script under the module and, unless it says no, under both baselines at the same time.
-func Play(ctx context.Context, s *script.Script, machine string, log *slog.Logger) (*Report, error) {
+func Play(ctx context.Context, s *script.Script, machine string, log *slog.Logger, spawn func(file string) *exec.Cmd) (*Report, error) {
 	kinds := []string{""}
-	if !s.NoBaselines {
+	if s.Sharing && !s.NoBaselines {
+		kinds = append(kinds, "apart", "single")
+	} else if !s.NoBaselines {
 		kinds = append(kinds, "even", "size")
 	}
 	r := &Report{Script: s.Name, Days: make([]Day, len(kinds)), Machine: machine}
@@ -78,7 +107,11 @@
 			if kind != "" {
 				l = quiet()
 			}
-			d, err := PlayOne(ctx, s, Hooks{Baseline: kind}, l)
+			h := Hooks{Spawn: spawn, Apart: kind == "apart", Single: kind == "single"}
+			if !h.Apart && !h.Single {
+				h.Baseline = kind
+			}
+			d, err := PlayOne(ctx, s, h, l)
 			if err != nil {
 				return fmt.Errorf("day %s: %w", named(kind), err)
 			}
@@ -90,7 +123,7 @@
 }
 
 func named(kind string) string {
-	return map[string]string{"": "module", "even": "baseline: even table", "size": "baseline: by listed size"}[kind]
+	return map[string]string{"": "module", "apart": "module, sharing nothing", "single": "module, one planner", "even": "baseline: even table", "size": "baseline: by listed size"}[kind]
 }
 
 // PlayOne runs a script once.
@@ -105,6 +138,7 @@
 	defer cancel()
 	group, running := errgroup.WithContext(day)
 	fail := func(err error) (*Day, error) {
+		f.finish()
 		cancel()
 		if e := group.Wait(); e != nil && !errors.Is(e, context.Canceled) {
 			err = e
@@ -139,13 +173,16 @@
 	f.judge.mu.Lock()
 	breaches, broken := f.judge.checker.Finish(f.clock.Mono())
 	messages, lines, tries, odd := f.judge.checker.Messages, f.judge.checker.Lines, f.judge.checker.Flows, maps.Clone(f.judge.odd)
+	takeovers, refused := slices.Clone(f.judge.checker.Takeovers), f.judge.checker.Refused
 	f.judge.mu.Unlock()
+	f.finish()
 	cancel()
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return nil, err
 	}
 	d := f.day(breaches, broken)
-	d.Messages, d.Lines, d.Tries, d.Unread = messages, lines, tries, odd
+	d.Messages, d.Lines, d.Tries, d.Unread, d.Refused, d.CPUMs = messages, lines, tries, odd, refused, f.cpuMs
+	d.takeovers(takeovers)
 	return d, nil
 }
 
@@ -166,7 +203,13 @@
 }
 
 func (f *fleet) day(breaches []rules.Breach, broken map[rules.Rule]int) *Day {
-	d := &Day{Decider: named(f.hooks.Baseline), Breaches: breaches, Broken: map[string]int{}, Endings: map[string]uint64{},
+	kind := f.hooks.Baseline
+	if f.hooks.Apart {
+		kind = "apart"
+	} else if f.hooks.Single {
+		kind = "single"
+	}
+	d := &Day{Decider: named(kind), Breaches: breaches, Broken: map[string]int{}, Endings: map[string]uint64{},
 		Servers: len(f.nodes), Proxies: len(f.proxies)}
 	for r, n := range broken {
 		d.Broken[r.String()] = n
@@ -222,6 +265,10 @@
 		fmt.Fprintf(t, "\t%d\t%d\t%d\t%d\t%.0f\t%.1f\t%.1f\t%d\t%s\n", late, blocked, dropped, d.Messages, d.Lines, d.OrderMsP50, d.OrderMsP99, d.Fell, kept)
 	}
 	t.Flush()
+	if d := r.Days[0]; d.Takeovers > 0 {
+		fmt.Fprintf(w, "sharing: %d takeovers after the first; without a commander %.0f ms (p50), %.0f (p99), %.0f at most; %d past messages refused\n",
+			d.Takeovers, d.BareP50, d.BareP99, d.BareMost, d.Refused)
+	}
 	for _, b := range r.Days[0].Breaches {
 		fmt.Fprintf(w, "broken: %s at %.0f ms: %s\n", b.Rule, b.AtMs, b.Evidence)
 	}
--- a/internal/rehearsal/trouble.go
+++ b/internal/rehearsal/trouble.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"syscall"
 
 	"lichenpick/internal/clock"
 	"lichenpick/internal/settings"
@@ -65,7 +66,7 @@
 	case *script.Trouble_Handshakes:
 		delay := settings.Ms(w.Handshakes.Delay)
 		during(func(_ netip.Addr, to *node) (l standin.Link) {
-			if to != nil {
+			if to.control == nil {
 				l.ConnectMs = delay
 			}
 			return l
@@ -80,18 +81,38 @@
 	case *script.Trouble_ZoneCut:
 		zone := f.zone(w.ZoneCut.Zone)
 		during(func(from netip.Addr, to *node) (l standin.Link) {
-			if to != nil {
+			if to.control == nil {
 				l.Cut = (zoneOf(from) == zone) != (to.zone == zone)
 			}
 			return l
 		})
 	case *script.Trouble_PlannerRestart:
-		f.stopPlanner(w.PlannerRestart.Kill, int(w.PlannerRestart.GetAfterBytes()))
+		c := f.control(w.PlannerRestart.GetController())
+		c.end(w.PlannerRestart.Kill, int(w.PlannerRestart.GetAfterBytes()))
 		wait()
 		if ctx.Err() != nil {
 			return nil
 		}
-		return f.startPlanner(ctx)
+		return c.start(f.running)
+	case *script.Trouble_ControllerPause:
+		if c := f.control(w.ControllerPause.GetController()); c.cmd != nil {
+			c.cmd.Process.Signal(syscall.SIGSTOP)
+			wait()
+			c.cmd.Process.Signal(syscall.SIGCONT)
+		}
+	case *script.Trouble_ControllerCut:
+		c, zone := f.control(w.ControllerCut.GetController()), f.zone(w.ControllerCut.Zone)
+		during(func(from netip.Addr, to *node) standin.Link {
+			return standin.Link{Cut: to == c.node && (zone < 0 || zoneOf(from) == zone)}
+		})
+	case *script.Trouble_ControllerDrain:
+		if c := f.control(w.ControllerDrain.GetController()); c.cmd != nil {
+			if err := c.drain(true); err != nil {
+				return err
+			}
+			wait()
+			return c.drain(false)
+		}
 	case *script.Trouble_StreamBreak:
 		// Streams of one zone share an address, so that a share of them is drawn by zone.
 		share := w.StreamBreak.GetShare()
@@ -99,11 +120,13 @@
 		for n := range f.script.Places {
 			hit[n] = f.roll() < share
 		}
-		f.plannerRelay.Break(func(from netip.Addr) bool { return hit[zoneOf(from)] })
+		for _, c := range f.controls {
+			c.relay.Break(func(from netip.Addr) bool { return hit[zoneOf(from)] })
+		}
 	case *script.Trouble_StuckProxy:
 		zone := int(f.roll() * float64(len(f.script.Places)))
 		during(func(from netip.Addr, to *node) standin.Link {
-			return standin.Link{Stall: to == nil && zoneOf(from) == zone}
+			return standin.Link{Stall: to.control != nil && zoneOf(from) == zone}
 		})
 	case *script.Trouble_Deploy:
 		return f.deploy(ctx, int(w.Deploy.GetServers()), settings.Ms(w.Deploy.Drain), lasts)
@@ -132,7 +155,7 @@
 	case *script.Trouble_SlowStreams:
 		delay := settings.Ms(w.SlowStreams.Delay)
 		during(func(_ netip.Addr, to *node) (l standin.Link) {
-			if to == nil {
+			if to.control != nil {
 				l.DelayMs = delay
 			}
 			return l
@@ -141,6 +164,9 @@
 	return nil
 }
 
+// control gives a planner by its number in the script; where fewer run than it counts on, another takes the part.
+func (f *fleet) control(n uint32) *control { return f.controls[int(n)%len(f.controls)] }
+
 func (f *fleet) named(t *script.Trouble) string {
 	m := t.ProtoReflect()
 	if fd := m.WhichOneof(m.Descriptor().Oneofs().ByName("what")); fd != nil {
--- a/internal/rehearsal/watch.go
+++ b/internal/rehearsal/watch.go
@@ -70,6 +70,18 @@
 				w.j.checker.Joined(m.Proxy, w.planner, at, &m)
 			}
 		}
+		if f.Kind == orders.Lease {
+			var m order.Lease
+			if proto.Unmarshal(f.Body, &m) == nil {
+				w.j.checker.Leased(w.proxy, w.planner, at, &m)
+			}
+		}
+		if f.Kind == orders.Applied {
+			var m order.Applied
+			if proto.Unmarshal(f.Body, &m) == nil {
+				w.j.checker.Obeyed(w.proxy, w.planner, at, &m)
+			}
+		}
 	}
 }
 
@@ -117,7 +129,7 @@
 		if u.welcome != nil {
 			w.j.checker.Welcomed(w.proxy, at, u.welcome)
 		} else {
-			w.j.checker.Ordered(w.proxy, at, w.j.toMono(u.orders.DecidedUnixUs), u.orders)
+			w.j.checker.Ordered(w.proxy, w.planner, at, w.j.toMono(u.orders.DecidedUnixUs), u.orders)
 		}
 	}
 }
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -17,15 +17,17 @@
 type Rule int
 
 const (
-	Bare     Rule = 1 + iota // a joined proxy without a server to pick
-	Twice                    // an effect twice
-	Drain                    // sent to what drains or is gone
-	PushOver                 // a cold server sent too much
-	Queue                    // lines waiting, messages to one proxy
+	Bare         Rule = 1 + iota // a joined proxy without a server to pick
+	Twice                        // an effect twice
+	Drain                        // sent to what drains or is gone
+	PushOver                     // a cold server sent too much
+	Queue                        // lines waiting, messages to one proxy
+	OneCommander                 // orders decided for a proxy that had granted another
+	StaleOrder                   // orders obeyed under an epoch that is past
 )
 
 func (r Rule) String() string {
-	return [...]string{"none", "bare", "twice", "drain", "push-over", "queue"}[r]
+	return [...]string{"none", "bare", "twice", "drain", "push-over", "queue", "one-commander", "stale-order"}[r]
 }
 
 // Breach is one rule broken, once.
@@ -102,7 +104,13 @@
 	bare     []float64 // since when, by group; infinite: not
 	told     []bool    // breach told
 	messages []float64
+	free     float64 // since when it has no commander
 	decided  float64 // of the last message that passed
+	shared   bool
+	holder   string // by its own grants; empty: free
+	epoch    uint64
+	granted  float64
+	passed   map[string]map[uint64]uint64 // epochs of messages not answered yet, by controller and number
 }
 
 type try struct {
@@ -117,6 +125,12 @@
 	knows    bool
 }
 
+// Takeover is one proxy that granted a controller anew, and since when it had none.
+type Takeover struct {
+	Proxy, Controller string
+	FreeMs, AtMs      float64
+}
+
 // Checker judges. Its methods are called in order of time, by one goroutine at a time.
 type Checker struct {
 	lim      Limits
@@ -130,6 +144,9 @@
 	Messages int
 	Lines    float64
 	Flows    int
+
+	Takeovers []Takeover
+	Refused   int // messages that proxies refused, as they were past
 }
 
 // NewChecker makes one that has seen nothing.
@@ -202,6 +219,9 @@
 
 // Joined saw a proxy's first frame on its way to a planner.
 func (c *Checker) Joined(name, planner string, at float64, j *order.Join) {
+	if old := c.proxies[name]; j.Lease != nil && old != nil && old.shared {
+		return // a further stream; who commands is in its word
+	}
 	q := &proxy{planner: planner, joined: at, zone: j.Zone, tables: map[uint32]*lines{}, out: map[string]bool{}}
 	for range c.lim.Repeats {
 		q.slots, q.bare, q.told = append(q.slots, &lines{}), append(q.bare, math.Inf(1)), append(q.told, false)
@@ -220,10 +240,78 @@
 			}
 		}
 	}
+	if j.Lease != nil {
+		q.shared, q.planner, q.passed = true, "", map[string]map[uint64]uint64{}
+	}
 	c.proxies[name] = q
 	c.look(name, q, at)
 }
 
+// Leased saw a proxy's word on who commands it pass towards a controller.
+func (c *Checker) Leased(name, controller string, at float64, m *order.Lease) {
+	q := c.proxies[name]
+	if q == nil || !q.shared {
+		return
+	}
+	switch {
+	case m.Granted && (m.Epoch != q.epoch || q.holder != controller):
+		if m.Epoch < q.epoch {
+			c.broke(StaleOrder, at, "proxy %s granted epoch %d after %d", name, m.Epoch, q.epoch)
+		}
+		free := q.free
+		if q.holder != "" { // its holder claimed it anew, on another stream
+			free = at
+		}
+		c.Takeovers = append(c.Takeovers, Takeover{name, controller, free, at})
+		q.holder, q.epoch, q.granted, q.joined = controller, m.Epoch, at, at
+		c.hold(name, q, at, m)
+	case m.Controller == "" && q.holder != "" && m.Epoch >= q.epoch:
+		q.holder, q.free = "", at
+		c.look(name, q, at)
+		q.planner = ""
+	}
+}
+
+// hold starts over with what a proxy says that it holds.
+func (c *Checker) hold(name string, q *proxy, at float64, m *order.Lease) {
+	c.look(name, q, at)
+	q.planner, q.tables, q.out = q.holder, map[uint32]*lines{}, map[string]bool{}
+	for g := range q.bare {
+		q.bare[g], q.told[g] = math.Inf(1), false
+	}
+	for _, h := range m.Holds {
+		t := &lines{weights: map[string]float64{}, out: map[string]bool{}}
+		for _, l := range h.Lines {
+			t.weights[l.Server] = l.Weight
+		}
+		for _, s := range h.Withdrawn {
+			t.out[s] = true
+		}
+		for _, g := range h.Groups {
+			if int(g) < len(q.slots) {
+				q.slots[g] = t
+			}
+		}
+	}
+	c.look(name, q, at)
+}
+
+// Obeyed saw a proxy's answer to a message of a controller: whether it obeyed is its own word.
+func (c *Checker) Obeyed(name, controller string, at float64, m *order.Applied) {
+	q := c.proxies[name]
+	if q == nil || !q.shared {
+		return
+	}
+	epoch, known := q.passed[controller][m.Number]
+	delete(q.passed[controller], m.Number)
+	if known && !m.Refused && (epoch != q.epoch || q.holder != "" && q.holder != controller) {
+		c.broke(StaleOrder, at, "proxy %s obeyed message %d of %s under epoch %d; it has granted %d to %q", name, m.Number, controller, epoch, q.epoch, q.holder)
+	}
+	if m.Refused {
+		c.Refused++
+	}
+}
+
 // Broken saw that a proxy's stream ended.
 func (c *Checker) Broken(name, planner string, at float64) {
 	if q := c.proxies[name]; q != nil && q.planner == planner {
@@ -252,17 +340,26 @@
 	if q == nil {
 		return
 	}
+	if q.shared {
+		if q.holder != "" && q.holder != by && q.granted < decided {
+			c.broke(OneCommander, at, "%s decided orders for proxy %s %.1f ms after %s was granted epoch %d", by, name, decided-q.granted, q.holder, q.epoch)
+		}
+		if q.passed[by] == nil {
+			q.passed[by] = map[uint64]uint64{}
+		}
+		q.passed[by][m.Number] = m.Epoch
+	}
 	q.messages = append(q.messages, decided)
-	q.messages = slices.DeleteFunc(q.messages, func(t float64) bool { return t <= decided-c.lim.SpanMs || t < q.joined-c.lim.SlackMs })
+	q.messages = slices.DeleteFunc(q.messages, func(t float64) bool { return t <= decided-c.lim.SpanMs || !q.shared && t < q.joined-c.lim.SlackMs })
 	if c.lim.MostMessages > 0 && len(q.messages) > c.lim.MostMessages {
 		c.broke(Queue, at, "proxy %s: %d messages within %g ms, %d allowed", name, len(q.messages), c.lim.SpanMs, c.lim.MostMessages)
 	}
 }
 
 // Ordered saw a message reach a proxy.
-func (c *Checker) Ordered(name string, at, decided float64, m *order.Orders) {
+func (c *Checker) Ordered(name, by string, at, decided float64, m *order.Orders) {
 	q := c.proxies[name]
-	if q == nil {
+	if q == nil || q.shared && (q.holder != by || q.epoch != m.Epoch) {
 		return
 	}
 	q.decided = decided
