--- a/brain/brain.go
+++ b/brain/brain.go
@@ -720,16 +720,17 @@
 	}
 }
 
-// waterline finds nu with the sum of d*max(v-d*nu, 0) equal to C; leaving out those under it only raises it.
+// waterline finds nu with the sum of d*max(v-d*nu, 0) equal to C; leaving out those under it only raises it. Where it does
+// not, by rounding, one at the line would come back in for ever.
 func waterline(v, d []float64, C float64) float64 {
-	for nu, n := -math.MaxFloat64, -1; ; {
+	for nu, n := -math.MaxFloat64, math.MaxInt; ; {
 		sumDV, sumDD, in := 0.0, 0.0, 0
 		for i := range v {
 			if v[i] > d[i]*nu {
 				sumDV, sumDD, in = sumDV+d[i]*v[i], sumDD+d[i]*d[i], in+1
 			}
 		}
-		if in == n || in == 0 {
+		if in >= n || in == 0 {
 			return nu
 		}
 		nu, n = (sumDV-C)/sumDD, in
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"reflect"
 	"testing"
+	"time"
 )
 
 // split runs the solver as often as a warm planner would and gives the alphas.
@@ -614,3 +615,19 @@
 		f.orders = nil
 	}
 }
+
+// Shares that tie at the line, with a cap of nothing, made the water-filling swing between two sets without end. Guards
+// against any such swing by rounding; cannot harm, as in exact terms the sets only shrink.
+func TestWaterlineEnds(t *testing.T) {
+	v := []float64{0.24655817925974133, 0.17259072548181892, 0.004931163585194826, 0.24655817925974133}
+	ended := make(chan float64, 1)
+	go func() { ended <- waterline(v, []float64{1, 0.7, 0.02, 1}, 0) }()
+	select {
+	case nu := <-ended:
+		if math.Abs(nu-v[0]) > 1e-9 {
+			t.Errorf("line at %g", nu)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("no end")
+	}
+}
