--- a/internal/rehearsal/control.go
+++ b/internal/rehearsal/control.go
@@ -139,9 +139,12 @@
 	c.f.mu.Unlock()
 }
 
+// endWithin is how long a planner's process may take to end; one that takes longer hangs, and the day has failed.
+const endWithin = 5 * time.Second
+
 // free gives an address that nobody listens at now.
 func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.0.1.1:0")
 	if err != nil {
 		return "", err
 	}
@@ -247,6 +250,17 @@
 		}
 		c.stop()
 	}
+	if c.cmd != nil {
+		select {
+		case <-c.ended:
+		case <-time.After(endWithin):
+			f.log.Error("a planner does not end; killing it", "planner", c.name)
+			f.mu.Lock()
+			f.hung++
+			f.mu.Unlock()
+			c.cmd.Process.Kill()
+		}
+	}
 	<-c.ended
 	if c.cmd != nil {
 		p := c.cmd.ProcessState
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -77,13 +77,17 @@
 	rule    int
 	replica int
 	status  []*planner.Status
+	hung    int     // planners that did not end when told
 	cpuMs   float64 // of planners that run as processes
 }
 
 // linkRule says what is wrong with links from a zone's address to a server, or to a planner: a node with a control.
 type linkRule func(from netip.Addr, to *node) standin.Link
 
-func zoneAddress(zone int) string { return fmt.Sprintf("127.%d.0.1", zone+1) }
+// zoneAddress is where a zone's proxies dial from, and listenAddress where its parties listen: a port that is listened at
+// again after a restart must not have gone to a connection meanwhile.
+func zoneAddress(zone int) string   { return fmt.Sprintf("127.%d.0.1", zone+1) }
+func listenAddress(zone int) string { return fmt.Sprintf("127.%d.1.1", zone+1) }
 
 func newFleet(s *script.Script, h Hooks, dir string, log *slog.Logger) *fleet {
 	c := clock.NewReal()
@@ -159,7 +163,7 @@
 	speed := s.GetSlowest() + f.chance.Float64()*(s.GetFastest()-s.GetSlowest())
 	seed := uint64(f.chance.Int63())
 	f.mu.Unlock()
-	set := &pb.Server{Name: name, Listen: zoneAddress(zone) + ":0", Zone: f.script.Places[zone].Name, Cores: s.Cores, Speed: &speed, Work: s.Work,
+	set := &pb.Server{Name: name, Listen: listenAddress(zone) + ":0", Zone: f.script.Places[zone].Name, Cores: s.Cores, Speed: &speed, Work: s.Work,
 		Waiting: s.Waiting, Connections: f.script.Limits.LeastConnections, Handshake: s.Handshake, ColdShare: f.script.Limits.ColdShare,
 		WarmUp: f.script.Limits.WarmUp, FallWindow: f.script.Limits.FallWindow, FallMultiple: s.FallMultiple, DedupWindow: "2.5s", Seed: &seed}
 	n := &node{name: name, zone: zone, set: set, size: float64(s.GetCores()), server: standin.NewServer(set, f.clock, f.net, f.log, &standin.Dedup{})}
@@ -177,7 +181,7 @@
 		f.judge.mu.Unlock()
 		return &flowWatch{j: f.judge, server: n.address, groups: groups}
 	}}
-	if n.address, err = n.relay.Start(ctx, zoneAddress(zone)+":0", at); err != nil {
+	if n.address, err = n.relay.Start(ctx, listenAddress(zone)+":0", at); err != nil {
 		return nil, err
 	}
 	f.mu.Lock()
@@ -261,7 +265,7 @@
 			for n := range f.controls {
 				planners = append(planners, f.controls[(len(f.proxies)+n)%len(f.controls)].relay.Address())
 			}
-			set := &pb.Proxy{Name: fmt.Sprintf("edge-%s-%d", p.Name, k), Listen: zoneAddress(zone) + ":0", Zone: p.Name, From: zoneAddress(zone),
+			set := &pb.Proxy{Name: fmt.Sprintf("edge-%s-%d", p.Name, k), Listen: listenAddress(zone) + ":0", Zone: p.Name, From: zoneAddress(zone),
 				Planners: planners, Sharing: f.shared(), Groups: cloneGroups(f.script.Groups), Pick: f.script.Pick, ReportEvery: f.script.Reports.Every,
 				ConnectionIdle: f.script.Limits.ConnectionIdle, Seed: proto.Uint64(uint64(f.chance.Int63())),
 				Usual: fmt.Sprintf("%g/s", max(settings.PerS(f.script.Traffic.Rate)/float64(max(f.count(), 1)), 0.001))}
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -1,19 +1,55 @@
 package rehearsal
 
 import (
+	"context"
 	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"syscall"
 	"testing"
 
 	"google.golang.org/protobuf/encoding/prototext"
 	"google.golang.org/protobuf/proto"
 
 	"lichenpick/brain"
+	"lichenpick/internal/clock"
+	"lichenpick/internal/list"
 	"lichenpick/internal/planner"
 	"lichenpick/internal/settings"
 	"lichenpick/proto/script"
 	pb "lichenpick/proto/settings"
 )
 
+// The test binary runs as a planner where this is set.
+const asPlanner = "LICHENPICK_TEST_AS_PLANNER"
+
+func TestMain(m *testing.M) {
+	if file := os.Getenv(asPlanner); file != "" {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+		defer stop()
+		set := &pb.Planner{}
+		if err := settings.Load(file, set); err != nil {
+			panic(err)
+		}
+		c := clock.NewReal()
+		from := set.List.GetStream()
+		err := planner.Run(ctx, planner.Options{Settings: set, Clock: c, Network: clock.TCP{}, Log: quiet(),
+			Source: &list.Stream{Address: from.Address, RedialMs: 200, SilentMs: 5000, FrameBytes: 16 << 20, Clock: c, Network: clock.TCP{}}})
+		if err != nil {
+			panic(err)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func spawned(file string) *exec.Cmd {
+	c := exec.Command(os.Args[0])
+	c.Env, c.Stderr = append(os.Environ(), asPlanner+"="+file), os.Stderr
+	return c
+}
+
 const small = `name: "small" length: "5s" no_baselines: true warm: "1s"
 places { name: "a" proxies: 2 servers: 4 } places { name: "b" proxies: 2 servers: 4 }
 groups { name: "check" latency_budget: "600ms" expiry: "1.5s" repeat: RETRIABLE }
@@ -200,3 +236,31 @@
 		})
 	}
 }
+
+// Three controllers as processes share the small fleet, through a pause beyond the lease, a kill amid messages and a cut.
+func TestSharing(t *testing.T) {
+	const shared = `controllers: 3 sharing: true length: "9s"
+		troubles { at: "1500ms" lasts: "3s" controller_pause { controller: 0 } }
+		troubles { at: "2s" lasts: "4s" deploy { servers: 2 drain: "7s" } }
+		troubles { at: "4s" lasts: "2s" planner_restart { controller: 1 kill: true after_bytes: 30 } }
+		troubles { at: "6s" lasts: "2s" controller_cut { controller: 2 zone: "a" } }`
+	t.Run("all rules are kept", func(t *testing.T) {
+		t.Parallel()
+		d := play(t, shared, Hooks{Spawn: spawned})
+		if len(d.Broken) > 0 || d.Takeovers == 0 || d.Service < 0.7 {
+			t.Errorf("service %.3f, %d takeovers, broken %v: %v", d.Service, d.Takeovers, d.Broken, d.Breaches)
+		}
+	})
+	t.Run("an epoch check left out is seen, and no other rule", func(t *testing.T) {
+		t.Parallel()
+		// Messages under way for longer than a lease arrive after a successor was granted.
+		d := play(t, `controllers: 3 sharing: true length: "9s"
+			troubles { at: "1s" lasts: "8s" slow_streams { delay: "900ms" } }
+			troubles { at: "1500ms" lasts: "7s" controller_drain { controller: 0 } }
+			troubles { at: "1200ms" lasts: "7s" deploy { servers: 6 drain: "9s" } }
+			troubles { at: "1s" lasts: "8s" hang { servers: 2 period: "500ms" } }`, Hooks{Spawn: spawned, Unfenced: true})
+		if d.Broken["stale-order"] == 0 {
+			t.Errorf("broken %v, %d takeovers", d.Broken, d.Takeovers)
+		}
+	})
+}
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -56,7 +56,7 @@
 	// Where controllers share the fleet: proxies that were granted anew after the day began, how long they had no commander,
 	// in ms, and messages that they refused as past.
 	Takeovers                  int
-	BareP50, BareP99, BareMost float64
+	BareP50, BareP99, BareMost float64 // from the last frame of the one before to the grant of the next
 	Refused                    int
 	CPUMs                      float64 // of planners that ran as processes
 }
@@ -67,7 +67,7 @@
 	var bare []float64
 	for _, t := range all {
 		if first[t.Proxy] {
-			bare = append(bare, max(t.AtMs-t.FreeMs, 0))
+			bare = append(bare, max(t.AtMs-t.SpokeMs, 0))
 		}
 		first[t.Proxy] = true
 	}
@@ -182,6 +182,9 @@
 	}
 	d := f.day(breaches, broken)
 	d.Messages, d.Lines, d.Tries, d.Unread, d.Refused, d.CPUMs = messages, lines, tries, odd, refused, f.cpuMs
+	if f.hung > 0 {
+		d.Unread["planners that did not end when told"] = f.hung
+	}
 	d.takeovers(takeovers)
 	return d, nil
 }
@@ -266,7 +269,7 @@
 	}
 	t.Flush()
 	if d := r.Days[0]; d.Takeovers > 0 {
-		fmt.Fprintf(w, "sharing: %d takeovers after the first; without a commander %.0f ms (p50), %.0f (p99), %.0f at most; %d past messages refused\n",
+		fmt.Fprintf(w, "sharing: %d takeovers after the first; from the last word of the one before %.0f ms (p50), %.0f (p99), %.0f at most; %d past messages refused\n",
 			d.Takeovers, d.BareP50, d.BareP99, d.BareMost, d.Refused)
 	}
 	for _, b := range r.Days[0].Breaches {
--- a/internal/rehearsal/watch.go
+++ b/internal/rehearsal/watch.go
@@ -103,6 +103,7 @@
 			return
 		}
 		end += 20 + len(f.Body)
+		w.j.checker.Spoke(w.proxy, w.planner, at)
 		switch f.Kind {
 		case orders.Welcome:
 			m := &order.Welcome{}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -105,6 +105,7 @@
 	told     []bool    // breach told
 	messages []float64
 	free     float64 // since when it has no commander
+	spoke    float64 // last frame of its commander
 	decided  float64 // of the last message that passed
 	shared   bool
 	holder   string // by its own grants; empty: free
@@ -127,8 +128,8 @@
 
 // Takeover is one proxy that granted a controller anew, and since when it had none.
 type Takeover struct {
-	Proxy, Controller string
-	FreeMs, AtMs      float64
+	Proxy, Controller     string
+	SpokeMs, FreeMs, AtMs float64 // last frame of the one before; end of its lease; the grant
 }
 
 // Checker judges. Its methods are called in order of time, by one goroutine at a time.
@@ -262,7 +263,8 @@
 		if q.holder != "" { // its holder claimed it anew, on another stream
 			free = at
 		}
-		c.Takeovers = append(c.Takeovers, Takeover{name, controller, free, at})
+		c.Takeovers = append(c.Takeovers, Takeover{name, controller, q.spoke, free, at})
+		q.spoke = at
 		q.holder, q.epoch, q.granted, q.joined = controller, m.Epoch, at, at
 		c.hold(name, q, at, m)
 	case m.Controller == "" && q.holder != "" && m.Epoch >= q.epoch:
@@ -272,6 +274,13 @@
 	}
 }
 
+// Spoke saw a frame of a controller pass towards a proxy.
+func (c *Checker) Spoke(name, controller string, at float64) {
+	if q := c.proxies[name]; q != nil && q.holder == controller {
+		q.spoke = at
+	}
+}
+
 // hold starts over with what a proxy says that it holds.
 func (c *Checker) hold(name string, q *proxy, at float64, m *order.Lease) {
 	c.look(name, q, at)
