A paused controller is not handed what it does not take

In the takeover rehearsal a paused controller kept its streams, so proxies went on to name it reachable: the others handed it proxies, took them back when it did not claim them, and so on, 100 changes for 12 proxies. Proxies now name only controllers heard in the last 1.2 s, and one that let a proxy lie free must settle anew, twice as long each time.

--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -28,6 +28,7 @@
 	"lichenpick/internal/list"
 	"lichenpick/internal/orders"
 	"lichenpick/internal/settings"
+	"lichenpick/internal/sharing"
 	"lichenpick/internal/store"
 	"lichenpick/proto/order"
 	pb "lichenpick/proto/settings"
@@ -462,6 +463,9 @@
 func (p *Planner) write(s *stream, end *orders.PlannerEnd) {
 	within := settings.Ms(p.Settings.Streams.WriteWithin)
 	beat := p.lim.SilentAfter / 4
+	if p.store != nil { // proxies tell each other's controllers who lives
+		beat = min(beat, sharing.BeatMs)
+	}
 	var buf []byte
 	put := func(kind orders.Kind, m proto.Message) bool {
 		var err error
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -24,6 +24,7 @@
 	"lichenpick/internal/clock"
 	"lichenpick/internal/orders"
 	"lichenpick/internal/settings"
+	"lichenpick/internal/sharing"
 	"lichenpick/proto/order"
 	pb "lichenpick/proto/settings"
 )
@@ -70,6 +71,7 @@
 	start  uint64
 
 	sessions []*session // joined ones, where controllers share the fleet
+	named    []string   // controllers that were last told to be reachable
 }
 
 // New makes a proxy that is not running yet.
@@ -318,7 +320,7 @@
 	for {
 		p.mu.Lock()
 		now := p.Clock.Mono()
-		if p.core.arbiter.Tick(now) {
+		if ended := p.core.arbiter.Tick(now); ended || !slices.Equal(p.reachable(now), p.named) {
 			p.spread(nil)
 		}
 		wait := expiryMs
@@ -341,7 +343,8 @@
 	joined     bool
 	controller string
 	process    uint64
-	open       bool // to claims
+	open       bool    // to claims
+	heard      float64 // when bytes last came
 	refused    error
 }
 
@@ -435,17 +438,24 @@
 // word is the proxy's word with the controllers that it can reach; the lock is held.
 func (p *Proxy) word(now float64, fresh bool) *order.Lease {
 	w := p.core.Word(now, fresh)
+	w.Reachable = p.reachable(now)
+	return w
+}
+
+// reachable names the controllers that are open to claims and were heard lately: a paused one keeps its streams.
+func (p *Proxy) reachable(now float64) (names []string) {
 	for _, s := range p.sessions {
-		if s.open {
-			w.Reachable = append(w.Reachable, s.controller)
+		if s.open && now-s.heard < sharing.HeardMs {
+			names = append(names, s.controller)
 		}
 	}
-	return w
+	return names
 }
 
 // spread tells all controllers but one who commands the proxy; the lock is held.
 func (p *Proxy) spread(but *session) {
 	w := p.word(p.Clock.Mono(), false)
+	p.named = w.Reachable
 	for _, s := range p.sessions {
 		if s != but {
 			s.put(orders.Lease, w)
@@ -502,6 +512,11 @@
 		conn.SetReadDeadline(p.Clock.Deadline(max(end.Due()-p.Clock.Mono(), 1)))
 		n, err := conn.Read(buf)
 		end.Feed(p.Clock.Mono(), buf[:n])
+		if n > 0 {
+			p.mu.Lock()
+			s.heard = p.Clock.Mono()
+			p.mu.Unlock()
+		}
 		for s.refused == nil && end.Next(s) {
 		}
 		var timeout net.Error
--- a/internal/sharing/arbiter.go
+++ b/internal/sharing/arbiter.go
@@ -16,6 +16,9 @@
 	staggerMs     = 150.0   // ms by which each next in rank waits to claim; a claim's way and answer take a tenth of it
 	answerMs      = 600.0   // ms until a claim that was not answered is made again
 	settledMs     = 3000.0  // ms that a better placed controller must be reachable before it is handed proxies
+	mostBack      = 5       // doublings of that, as many as a proxy came back; a minute and a half then
+	HeardMs       = 1200.0  // ms without a frame after which a proxy no longer names a controller reachable
+	BeatMs        = 400.0   // ms between a controller's frames at the least; three make the above
 	handPerS      = 20.0    // proxies a second that are handed over; each brings its successor a table to send
 	reserveAhead  = 1000    // epochs that one write to the store covers; a takeover of so many proxies costs one
 	DrainMemoryMs = 30000.0 // ms that a drain known by a predecessor is kept while one's own list does not show it
--- a/internal/sharing/sharer.go
+++ b/internal/sharing/sharer.go
@@ -39,6 +39,8 @@
 	until     float64 // believed ours until then
 	commanded bool
 	better    float64 // since when a better placed controller has been reachable; infinite: none is
+	back      int     // times that it was handed over and came back, as the other did not claim it
+	handedAt  float64 // when it was last handed over
 	rank      int     // ours among the controllers that the proxy can reach
 	first     string  // the best placed
 }
@@ -94,7 +96,7 @@
 // Joined takes in a proxy's new stream, with its word. What was believed of an older stream is void.
 func (s *Sharer) Joined(proxy string, v View) {
 	s.Lost(proxy)
-	h := &holding{name: proxy, better: math.Inf(1), freeSince: math.Inf(1)}
+	h := &holding{name: proxy, better: math.Inf(1), freeSince: math.Inf(1), handedAt: math.Inf(-1)}
 	s.proxies[proxy] = h
 	at, _ := slices.BinarySearchFunc(s.order, h, func(a, b *holding) int { return cmp.Compare(a.name, b.name) })
 	s.order = slices.Insert(s.order, at, h)
@@ -138,6 +140,13 @@
 	}
 	if h.epoch != asked.epoch {
 		s.Takeovers++
+		// One better placed that let it lie free is not well, whatever it looks like: it must settle again, for longer each
+		// time that a proxy comes back. Guards against a controller that is paused with its streams up.
+		if h.better = math.Max(h.better, s.now); math.IsInf(h.better, 1) {
+			h.back = 0
+		} else if s.now-h.handedAt < settledMs {
+			h.back = min(h.back+1, mostBack)
+		}
 		h.epoch, h.until, h.commanded = asked.epoch, math.Inf(-1), false
 	}
 	h.until = max(h.until, heldUntil(asked.at, LeaseMs))
@@ -322,11 +331,12 @@
 // mayHand says whether a proxy should go to a better placed controller: one that has been reachable for a while, at a pace.
 func (s *Sharer) mayHand(x *holding) bool {
 	paced := s.now-s.handed >= 1000/handPerS
-	return paced && (s.draining && len(x.view.Reachable) > 0 || s.now-x.better >= settledMs)
+	return paced && (s.draining && len(x.view.Reachable) > 0 || s.now-x.better >= settledMs*math.Exp2(float64(x.back)))
 }
 
 func (s *Sharer) hand(x *holding, h Host) bool {
 	epoch := x.epoch
+	x.handedAt = s.now
 	s.handed, x.epoch, x.until, x.asks = s.now, 0, math.Inf(-1), nil
 	x.freeSince = s.now + answerMs // another is to come first
 	x.view.Controller, x.view.LeftMs, x.seen = "", 0, s.now
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -20,6 +20,7 @@
 	obeyed   int
 	bare     []float64 // ms that a proxy was without a commander, each time
 	loss     float64   // share of claims whose stream breaks
+	heard    bool      // proxies name only controllers that run
 	broken   bool      // proxies obey whatever comes
 	wrong    string    // the first rule broken
 	longest  float64
@@ -81,7 +82,7 @@
 func (p *edge) view() View {
 	v := View{Epoch: p.a.Epoch, Controller: p.a.Controller, Incarnation: p.a.Incarnation, LeftMs: p.a.Left() / p.rate}
 	for _, c := range p.w.names {
-		if p.link[c] && p.w.ctl[c].open {
+		if p.link[c] && p.w.ctl[c].open && (!p.w.heard || p.w.ctl[c].running()) {
 			v.Reachable = append(v.Reachable, c)
 		}
 	}
@@ -341,6 +342,20 @@
 			t.Errorf("%v %s", got, w.wrong)
 		}
 	})
+	// A paused controller keeps its streams; where proxies still name it, the others must not hand it proxies over and over.
+	t.Run("one that is paused is not handed what it does not take", func(t *testing.T) {
+		w := newWorld(t, 7, 3, 30)
+		w.run(3000)
+		w.ctl["A"].pausedTill = 1e9
+		w.run(30000)
+		if got := w.ctl["B"].s.Takeovers + w.ctl["C"].s.Takeovers; got > 130 || w.wrong != "" || w.commanders()["A"] != 0 {
+			t.Errorf("%d takeovers of 30 proxies in 30 s, %v %s", got, w.commanders(), w.wrong)
+		} else {
+			t.Logf("%d takeovers", got)
+		}
+		w.ctl["A"].pausedTill = 0
+		w.run(1000)
+	})
 	t.Run("a proxy whose epoch is beyond what any controller knows", func(t *testing.T) {
 		w := newWorld(t, 5, 2, 3)
 		w.proxies[0].a.Epoch, w.proxies[0].highest = 5000000, 5000000
