--- a/internal/planner/core_test.go
+++ b/internal/planner/core_test.go
@@ -61,7 +61,7 @@
 func (w *wire) Send(s *Stream, _ orders.Kind, m proto.Message) { w.sent[s] = append(w.sent[s], m) }
 func (w *wire) End(s *Stream, why *orders.Ending)              { w.ended[s] = why.Reason }
 func (w *wire) Wake(float64)                                   {}
-func (w *wire) Reserve(uint64)                                 {}
+func (w *wire) Reserve(upTo uint64)                            { w.Reserved(upTo, nil) }
 
 func (w *wire) at(now float64) {
 	w.Tick(now, time.UnixMilli(int64(1e12+now)))
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -59,6 +59,7 @@
 	BareP50, BareP99, BareMost float64 // from the last frame of the one before to the grant of the next
 	Refused                    int
 	CPUMs                      float64 // of planners that ran as processes
+	UpBytes, DownBytes         int     // of streams, from proxies and to them
 }
 
 // takeovers sums up those after each proxy's first.
@@ -173,6 +174,7 @@
 	f.judge.mu.Lock()
 	breaches, broken := f.judge.checker.Finish(f.clock.Mono())
 	messages, lines, tries, odd := f.judge.checker.Messages, f.judge.checker.Lines, f.judge.checker.Flows, maps.Clone(f.judge.odd)
+	up, down := f.judge.up, f.judge.down
 	takeovers, refused := slices.Clone(f.judge.checker.Takeovers), f.judge.checker.Refused
 	f.judge.mu.Unlock()
 	f.finish()
@@ -185,6 +187,7 @@
 	if f.hung > 0 {
 		d.Unread["planners that did not end when told"] = f.hung
 	}
+	d.UpBytes, d.DownBytes = up, down
 	d.takeovers(takeovers)
 	return d, nil
 }
--- a/internal/rehearsal/watch.go
+++ b/internal/rehearsal/watch.go
@@ -21,6 +21,8 @@
 	mu      sync.Mutex
 	checker *rules.Checker
 	toMono  func(unixUs uint64) float64
+	up      int            // bytes that proxies sent to planners
+	down    int            // and these to them
 	odd     map[string]int // what could not be read from a socket, by kind
 }
 
@@ -53,6 +55,7 @@
 func (w *streamWatch) ToTarget(at float64, p []byte) {
 	w.j.mu.Lock()
 	defer w.j.mu.Unlock()
+	w.j.up += len(p)
 	w.up.Feed(p)
 	for {
 		f, ok, err := w.up.Next()
@@ -90,6 +93,7 @@
 	defer w.j.mu.Unlock()
 	before := w.passed
 	w.passed += len(p)
+	w.j.down += len(p)
 	held := w.down.Held()
 	w.down.Feed(p)
 	end := before - held
