--- a/internal/planner/share_test.go
+++ b/internal/planner/share_test.go
@@ -103,7 +103,10 @@
 			ago = append(ago, float64(100*n))
 		}
 		at := w.grant(s, 0, &order.Lease{Reachable: []string{"p"}, Holds: holds("s0"), MessagesAgoMs: ago})
-		w.renewing(s, 50, 7000, at)
+		for n := range 12 { // a list that gives much to order
+			at = w.renewing(s, 50+500*float64(n), 500+500*float64(n), at)
+			w.Listed(state("s0", brain.State(n%2)))
+		}
 		count := 0
 		for _, m := range w.sent[s] {
 			if _, ok := m.(*order.Orders); ok {
