--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -119,7 +119,6 @@
 	at     float64
 	server string
 	unrun  bool
-	done   bool
 }
 
 type sentWork struct {
@@ -478,7 +477,7 @@
 func (c *Checker) Answered(server string, at float64, f Flow, unrun bool) {
 	for _, t := range c.flows[f.ID+"\x00"+f.Proxy] {
 		if t.server == server {
-			t.done, t.unrun = true, t.unrun || unrun
+			t.unrun = t.unrun || unrun
 		}
 	}
 }
