A controller looks only at the proxies that are due, not at all for each decision

At 999 proxies a third of a controller's CPU went into looking through all of them for each decision, and a tenth into inherited drains. Proxies now stand in a queue by when they are due, planned anew whenever something is heard of them; heirs are listed. The status gains the number of writes to the store, and its address serves profiles.

--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -116,8 +116,8 @@
 
 // Counts are what happened since the start.
 type Counts struct {
-	Joins, Messages, Lines, Sums, Unheard, Shed uint64
-	Endings                                     map[orders.Reason]uint64
+	Joins, Messages, Lines, Sums, Unheard, Shed, Marks uint64
+	Endings                                            map[orders.Reason]uint64
 }
 
 // Core is one planner. Its methods are called from one goroutine: Tick, then inputs, then Next until it says false.
@@ -148,7 +148,8 @@
 	listChanged bool
 	share       *sharing.Sharer // nil: nothing is shared
 	shareWake   float64
-	shared      bool // package sharing has nothing more to decide at this time
+	heirs       []*peer // with drains that a predecessor knew
+	shared      bool    // package sharing has nothing more to decide at this time
 
 	Counts Counts
 	Order  *hdrhistogram.Histogram // us from a decision to its answer
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"net/netip"
 	"os"
 	"runtime/debug"
@@ -84,7 +85,8 @@
 	Unheard, Shed                uint64
 	Commanded                    int // proxies, where several controllers share a fleet
 	Takeovers, Handed, Expired   int
-	Claimless                    bool // not open to claims: drained, or its store cannot be written
+	Marks                        uint64 // writes to the store
+	Claimless                    bool   // not open to claims: drained, or its store cannot be written
 	Endings                      map[orders.Reason]uint64
 	OrderMsP50, OrderMsP99       float64
 	RefusedDials                 uint64
@@ -532,6 +534,7 @@
 		OrderMsP99: float64(c.Order.ValueAtQuantile(99)) / 1000, RefusedDials: p.refused.Load()}
 	if s.Commanded = len(c.names); c.share != nil {
 		s.Commanded, _ = c.share.Held()
+		s.Marks = c.Counts.Marks
 		s.Takeovers, s.Handed, s.Expired, s.Claimless = c.share.Takeovers, c.share.Handed, c.share.Expired, !c.share.Open()
 	}
 	s.Ready, s.Draining, s.Gone = c.memory.Servers()
@@ -581,6 +584,10 @@
 		}
 		p.tell(r.Context(), func() { p.core.Drain(on == "true") })
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second}
 	group.Go(func() error {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -50,6 +50,7 @@
 		c.share.NotReserved()
 		return
 	}
+	c.Counts.Marks++
 	c.share.Reserved(upTo)
 }
 
@@ -67,9 +68,10 @@
 
 // outlived ends at most one inherited drain that our list never came to show.
 func (c *Core) outlived() bool {
-	for _, p := range c.peers {
-		if p == nil || len(p.inherited) == 0 {
-			continue
+	for n, p := range c.heirs {
+		if len(p.inherited) == 0 || c.names[p.name] != p {
+			c.heirs = slices.Delete(c.heirs, n, n+1)
+			return true
 		}
 		for _, server := range slices.Sorted(maps.Keys(p.inherited)) {
 			if c.now < p.inherited[server] {
@@ -119,6 +121,9 @@
 			p.inherited[server] = c.now + sharing.DrainMemoryMs
 		}
 	}
+	if len(p.inherited) > 0 && !slices.Contains(c.heirs, p) {
+		c.heirs = append(c.heirs, p)
+	}
 	var sent []float64
 	for _, at := range p.before {
 		sent = append(sent, originMs+at)
--- a/internal/sharing/sharer.go
+++ b/internal/sharing/sharer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"math"
 	"slices"
 
@@ -43,6 +44,27 @@
 	handedAt  float64 // when it was last handed over
 	rank      int     // ours among the controllers that the proxy can reach
 	first     string  // the best placed
+	due       float64 // when it is to be looked at next
+	at        int     // in the queue
+}
+
+// queue has what is due first on top, and by name what is due together, so that the same inputs give the same decisions.
+type queue []*holding
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(a, b int) bool {
+	return q[a].due < q[b].due || q[a].due == q[b].due && q[a].name < q[b].name
+}
+func (q queue) Swap(a, b int) { q[a], q[b], q[a].at, q[b].at = q[b], q[a], b, a }
+func (q *queue) Push(x any) {
+	x.(*holding).at = len(*q)
+	*q = append(*q, x.(*holding))
+}
+func (q *queue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
 }
 
 // ask is a claim under way.
@@ -68,7 +90,7 @@
 	incarnation uint64
 	now         float64
 	proxies     map[string]*holding
-	order       []*holding // by name, so that the same inputs give the same decisions
+	queue       queue
 	nonce       uint64
 	used        uint64 // the highest epoch asked for
 	reserved    uint64 // the highest that is written down
@@ -78,7 +100,6 @@
 	draining    bool
 	told        bool // whether proxies know of draining
 	handed      float64
-	at          int // where the last look at proxies ended
 	wokenAt     float64
 
 	Takeovers, Handed, Expired, Refusals int // counts since the start
@@ -98,8 +119,7 @@
 	s.Lost(proxy)
 	h := &holding{name: proxy, better: math.Inf(1), freeSince: math.Inf(1), handedAt: math.Inf(-1)}
 	s.proxies[proxy] = h
-	at, _ := slices.BinarySearchFunc(s.order, h, func(a, b *holding) int { return cmp.Compare(a.name, b.name) })
-	s.order = slices.Insert(s.order, at, h)
+	heap.Push(&s.queue, h)
 	s.hear(h, v)
 }
 
@@ -107,7 +127,7 @@
 func (s *Sharer) Lost(proxy string) {
 	if h := s.proxies[proxy]; h != nil {
 		delete(s.proxies, proxy)
-		s.order = slices.DeleteFunc(s.order, func(x *holding) bool { return x == h })
+		heap.Remove(&s.queue, h.at)
 	}
 }
 
@@ -125,6 +145,7 @@
 		return
 	}
 	s.hear(h, v)
+	defer s.plan(h)
 	at := slices.IndexFunc(h.asks, func(a ask) bool { return a.nonce == nonce })
 	if at < 0 {
 		return
@@ -157,6 +178,7 @@
 	if h := s.proxies[proxy]; h != nil && h.epoch > 0 {
 		s.Refusals++
 		h.until = math.Inf(-1)
+		s.plan(h)
 	}
 }
 
@@ -164,6 +186,7 @@
 func (s *Sharer) Reserved(upTo uint64) {
 	s.told = s.told && !s.unable
 	s.reserved, s.reserving, s.unable = max(s.reserved, upTo), false, false
+	s.planAll()
 }
 
 // NotReserved is followed by another attempt a while later. Until one succeeds nothing new is claimed, what is held is
@@ -171,10 +194,14 @@
 func (s *Sharer) NotReserved() {
 	s.told = s.told && s.unable
 	s.reserving, s.unable, s.retryAt = false, true, s.now+answerMs
+	s.planAll()
 }
 
 // Drain makes the controller hand over all that it holds, and claim nothing; or ends that.
-func (s *Sharer) Drain(on bool) { s.told, s.draining = s.told && s.draining == on, on }
+func (s *Sharer) Drain(on bool) {
+	s.told, s.draining = s.told && s.draining == on, on
+	s.planAll()
+}
 
 func (s *Sharer) hear(h *holding, v View) {
 	h.view, h.seen = v, s.now
@@ -191,6 +218,7 @@
 	} else {
 		h.better = math.Min(h.better, s.now)
 	}
+	s.plan(h)
 }
 
 // place ranks the controllers that a proxy can reach, by rendezvous hashing: all that hear the same word rank the same, and
@@ -228,12 +256,12 @@
 
 // Held counts the proxies that are believed to be ours, and all that have a stream.
 func (s *Sharer) Held() (ours, all int) {
-	for _, h := range s.order {
+	for _, h := range s.queue {
 		if s.ours(h) {
 			ours++
 		}
 	}
-	return ours, len(s.order)
+	return ours, len(s.queue)
 }
 
 // Next carries out at most one decision, and says whether it did. What is no longer ours goes first.
@@ -246,15 +274,24 @@
 	if s.unable && s.reserve(s.used+1, h) {
 		return true
 	}
-	for range s.order {
-		if s.at++; s.at >= len(s.order) {
-			s.at = 0
+	for len(s.queue) > 0 && s.queue[0].due <= s.now {
+		x := s.queue[0]
+		did := s.one(x, h)
+		if s.plan(x); !did && x.due <= s.now { // it waits for something else than its time
+			s.put(x, s.now+1)
 		}
-		if s.one(s.order[s.at], h) {
+		if did {
 			return true
 		}
 	}
-	if due := s.due(); due != s.wokenAt {
+	due := math.Inf(1)
+	if len(s.queue) > 0 {
+		due = s.queue[0].due
+	}
+	if s.unable {
+		due = min(due, max(s.retryAt, s.now+1))
+	}
+	if due != s.wokenAt && !math.IsInf(due, 1) {
 		s.wokenAt = due
 		h.Wake(due)
 		return true
@@ -276,13 +313,13 @@
 		x.commanded = true
 		h.Command(x.name, x.epoch)
 		return true
-	case x.epoch > 0 && s.mayHand(x):
+	case x.epoch > 0 && s.now >= s.handAt(x):
 		return s.hand(x, h)
 	case x.epoch > 0 && s.now >= s.renewAt(x):
 		s.ask(x, x.epoch, h)
 		return true
 	}
-	if x.epoch > 0 || s.draining || !s.mayClaim(x) {
+	if x.epoch > 0 || s.draining || s.now < s.claimAt(x) {
 		return false
 	}
 	epoch := max(s.used, x.view.Epoch) + 1
@@ -318,20 +355,26 @@
 	return renewMs + max(x.lastAsked(), x.until-(heldUntil(0, LeaseMs)))
 }
 
-// mayClaim says whether a proxy is free, or its lease over by its own word, and our turn has come.
-func (s *Sharer) mayClaim(x *holding) bool {
-	if s.now-x.lastAsked() < answerMs {
-		return false
+// claimAt is when a proxy is free, or its lease over by its own word, and our turn has come.
+func (s *Sharer) claimAt(x *holding) float64 {
+	at := x.lastAsked() + answerMs
+	if x.view.Controller == s.name && x.view.Incarnation == s.incarnation { // by an older stream
+		return at
 	}
-	mine := x.view.Controller == s.name && x.view.Incarnation == s.incarnation // by an older stream
 	free := math.Min(x.freeSince, x.seen+x.view.LeftMs*(1+rateBound)+marginMs)
-	return mine || s.now >= free+staggerMs*float64(x.rank)
+	return max(at, free+staggerMs*float64(x.rank))
 }
 
-// mayHand says whether a proxy should go to a better placed controller: one that has been reachable for a while, at a pace.
-func (s *Sharer) mayHand(x *holding) bool {
-	paced := s.now-s.handed >= 1000/handPerS
-	return paced && (s.draining && len(x.view.Reachable) > 0 || s.now-x.better >= settledMs*math.Exp2(float64(x.back)))
+// handAt is when a proxy should go to a better placed controller: one that has been reachable for a while, at a pace.
+func (s *Sharer) handAt(x *holding) float64 {
+	at := math.Inf(1)
+	if !math.IsInf(x.better, 1) {
+		at = x.better + settledMs*math.Exp2(float64(x.back))
+	}
+	if s.draining && len(x.view.Reachable) > 0 {
+		at = s.now
+	}
+	return max(at, s.handed+1000/handPerS)
 }
 
 func (s *Sharer) hand(x *holding, h Host) bool {
@@ -349,16 +392,33 @@
 	return true
 }
 
-// due is when the next decision may be due, in ms.
-func (s *Sharer) due() float64 {
-	due := s.now + renewMs
-	for _, x := range s.order {
-		switch {
-		case x.epoch > 0:
-			due = min(due, x.until, s.renewAt(x))
-		case !s.draining:
-			due = min(due, max(math.Min(x.freeSince, x.seen+x.view.LeftMs*(1+rateBound)+marginMs)+staggerMs*float64(x.rank), s.now+staggerMs/4))
+// plan works out anew when a proxy is to be looked at; it is to be called whenever something is heard of it.
+func (s *Sharer) plan(x *holding) {
+	due := math.Inf(1)
+	switch {
+	case x.epoch > 0 && (!x.commanded || !s.ours(x)):
+		due = s.now
+	case x.epoch > 0:
+		due = min(x.until, s.renewAt(x), s.handAt(x))
+	case !s.draining:
+		if due = s.claimAt(x); s.reserving {
+			due = max(due, s.now+staggerMs/4)
+		} else if s.unable {
+			due = max(due, s.retryAt)
 		}
 	}
-	return max(due, s.now+1)
+	s.put(x, due)
+}
+
+func (s *Sharer) put(x *holding, due float64) {
+	if x.due != due {
+		x.due = due
+		heap.Fix(&s.queue, x.at)
+	}
+}
+
+func (s *Sharer) planAll() {
+	for _, x := range slices.SortedFunc(slices.Values(s.queue), func(a, b *holding) int { return cmp.Compare(a.name, b.name) }) {
+		s.plan(x)
+	}
 }
