--- a/cmd/lichenpick/main_test.go
+++ b/cmd/lichenpick/main_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -164,3 +165,34 @@
 	begin("planner", "-c", "deploy/examples/planner.txtpb")
 	until("the join after a kill", joined)
 }
+
+// Three planners as processes share a swarm, and one is killed. Guards against a swarm that measures a fleet which nobody
+// commands: every proxy must have been bound, and the killed planner's must have gone to others.
+func TestSwarmShares(t *testing.T) {
+	if testing.Short() {
+		t.Skip("six seconds")
+	}
+	c, said := program("swarm", "-c", "deploy/examples/planner-sharing.txtpb", "--spawn", "3", "--proxies", "30", "--servers", "12", "--length", "6s",
+		"--kill-at-ms", "2000", "--back-after-ms", "30000")
+	out, err := c.Output()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, said)
+	}
+	rows := strings.Split(strings.TrimSpace(string(out)), "\n")
+	if len(rows) != 6 {
+		t.Fatalf("rows:\n%s", out)
+	}
+	if f := strings.Fields(rows[1]); f[0] != "30x12" || f[2] != "30" {
+		t.Errorf("not all were bound:\n%s", out)
+	}
+	commands := 0
+	for _, r := range rows[3:] {
+		f := strings.Fields(r)
+		if n, err := strconv.Atoi(f[3]); err == nil && f[0] != "planner-2" {
+			commands += n
+		}
+	}
+	if commands != 30 {
+		t.Errorf("the two that live command %d of 30:\n%s", commands, out)
+	}
+}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -7,26 +7,16 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/netip"
-	"slices"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/proto"
 
-	"lichenpick/internal/clock"
-	"lichenpick/internal/orders"
 	"lichenpick/internal/settings"
-	"lichenpick/internal/sharing"
-	"lichenpick/proto/order"
-	pb "lichenpick/proto/settings"
 )
 
 // Headers of flows between clients, proxies and servers.
@@ -41,47 +31,24 @@
 
 const (
 	mostBody   = 1 << 20 // bytes of a flow's body; it is held so that a further try can be made
-	readBytes  = 16 << 10
-	writeMs    = 2000.0 // ms a frame to a planner may take
-	joinMs     = 2000.0 // ms until a planner's welcome
-	outboxSize = 256    // frames that wait for a planner's socket
-	expiryMs   = 100.0  // ms between looks at the lease, at the latest
-	stopWaitMs = 1000.0 // ms that flows in hand are given when the proxy ends
+	stopWaitMs = 1000.0  // ms that flows in hand are given when the proxy ends
 )
 
-// Options are what a proxy runs on.
-type Options struct {
-	Settings *pb.Proxy
-	Clock    clock.Clock
-	Network  clock.Network
-	Log      *slog.Logger
-	Ready    func(addr net.Addr) // called once it listens; may be nil
-	Unfenced bool                // obeys whatever epoch orders bear: only to prove that this is seen
-}
-
-// Proxy is a running proxy.
+// Proxy is a running proxy: a follower that takes flows by what it is ordered.
 type Proxy struct {
-	Options
-	mu     sync.Mutex // of core and lines
-	core   *Core
-	lines  map[string]*http.Transport // to servers, by address
-	from   netip.Addr
+	*Follower
+	lines  map[string]*http.Transport // to servers, by address; the follower's lock is of these too
 	groups map[string]int
 	inHand atomic.Int64
-	start  uint64
-
-	sessions []*session // joined ones, where controllers share the fleet
-	named    []string   // controllers that were last told to be reachable
 }
 
 // New makes a proxy that is not running yet.
 func New(o Options) *Proxy {
-	p := &Proxy{Options: o, core: NewCore(o.Settings, o.Clock.Mono()), lines: map[string]*http.Transport{}, groups: map[string]int{}}
-	p.from, _ = netip.ParseAddr(o.Settings.From)
+	p := &Proxy{Follower: NewFollower(o), lines: map[string]*http.Transport{}, groups: map[string]int{}}
+	p.changed = p.tidy
 	for n, g := range o.Settings.Groups {
 		p.groups[g.Name] = n
 	}
-	p.start = uint64(o.Clock.Wall().UnixNano()) ^ rand.New(rand.NewSource(int64(o.Settings.GetSeed()))).Uint64()>>20
 	return p
 }
 
@@ -114,7 +81,7 @@
 		}
 		return nil
 	})
-	group.Go(func() error { return p.follow(ctx) })
+	group.Go(func() error { return p.Follow(ctx) })
 	p.Log.Info("proxy listens", "proxy", p.Settings.Name, "address", l.Addr())
 	if p.Ready != nil {
 		p.Ready(l.Addr())
@@ -277,315 +244,3 @@
 		}
 	}
 }
-
-// follow keeps a stream to one planner at a time, and dials the next when it breaks; where controllers share the fleet, it
-// keeps one to each.
-func (p *Proxy) follow(ctx context.Context) error {
-	if !p.Settings.Sharing {
-		return p.keep(ctx, p.Settings.Planners, 0)
-	}
-	group, ctx := errgroup.WithContext(ctx)
-	for n, planner := range p.Settings.Planners {
-		group.Go(func() error { return p.keep(ctx, []string{planner}, n) })
-	}
-	group.Go(func() error { return p.expire(ctx) })
-	return group.Wait()
-}
-
-func (p *Proxy) keep(ctx context.Context, planners []string, nth int) error {
-	wait := settings.Ms(p.Settings.Redial)
-	chance := rand.New(rand.NewSource(int64(p.Settings.GetSeed()) + 1 + int64(nth)))
-	told := ""
-	for n, streams := 0, uint64(1); ctx.Err() == nil; streams++ {
-		joined, err := p.stream(ctx, planners[n%len(planners)], streams)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if cause := err.Error(); joined || cause != told { // not at each dial
-			told = cause
-			p.Log.Info("no planner; going by the tables at hand", "proxy", p.Settings.Name, "planner", planners[n%len(planners)], "cause", err)
-		}
-		if !joined || errors.As(err, new(*orders.Ending)) {
-			n++
-		}
-		if clock.Sleep(ctx, p.Clock, wait*(0.5+chance.Float64())) != nil {
-			return nil
-		}
-	}
-	return nil
-}
-
-// expire tells all controllers when a lease runs out.
-func (p *Proxy) expire(ctx context.Context) error {
-	for {
-		p.mu.Lock()
-		now := p.Clock.Mono()
-		if ended := p.core.arbiter.Tick(now); ended || !slices.Equal(p.reachable(now), p.named) {
-			p.spread(nil)
-		}
-		wait := expiryMs
-		if left := p.core.arbiter.Left(); left > 0 {
-			wait = min(left+1, expiryMs)
-		}
-		p.mu.Unlock()
-		if clock.Sleep(ctx, p.Clock, wait) != nil {
-			return nil
-		}
-	}
-}
-
-// session is one stream to a planner. What it shares with others is guarded by the proxy's lock.
-type session struct {
-	p          *Proxy
-	out        chan outgoing
-	broken     chan struct{} // closed when its outbox is full
-	once       sync.Once
-	joined     bool
-	controller string
-	process    uint64
-	open       bool    // to claims
-	heard      float64 // when bytes last came
-	refused    error
-}
-
-type outgoing struct {
-	kind orders.Kind
-	m    proto.Message
-}
-
-// put queues a frame. It must not wait, as it is called with the proxy's lock held.
-func (s *session) put(kind orders.Kind, m proto.Message) {
-	select {
-	case s.out <- outgoing{kind, m}:
-	default:
-		s.once.Do(func() { close(s.broken) })
-	}
-}
-
-func (s *session) Welcomed(w *order.Welcome) {
-	p := s.p
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if w.Sharing != p.Settings.Sharing {
-		s.refused = errors.New("'sharing' is set at one side only")
-		return
-	}
-	s.joined, s.controller, s.process = true, w.Planner, w.Incarnation
-	if !p.Settings.Sharing {
-		p.core.Welcomed(w)
-		s.put(orders.Applied, &order.Applied{})
-		return
-	}
-	s.open = true
-	p.sessions = append(p.sessions, s)
-	p.spread(nil)
-}
-
-func (s *session) Ordered(m *order.Orders) {
-	p := s.p
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.Clock.Mono()
-	p.core.Met(now)
-	if p.Settings.Sharing && !p.core.Commanded(now, s.controller, m) && !p.Unfenced {
-		s.put(orders.Applied, &order.Applied{Number: m.Number, Refused: true, Epoch: p.core.arbiter.Epoch})
-		return
-	}
-	receipts := p.core.Ordered(m)
-	p.tidy()
-	s.put(orders.Applied, &order.Applied{Number: m.Number, Receipts: receipts, Epoch: p.core.arbiter.Epoch})
-}
-
-func (s *session) Claimed(m *order.Claim) {
-	p := s.p
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.Settings.Sharing || m.Controller != s.controller || m.Incarnation != s.process {
-		s.refused = errors.New("a claim in another's name")
-		return
-	}
-	now := p.Clock.Mono()
-	before := p.core.arbiter.Controller
-	granted, fresh := p.core.Claim(now, m)
-	w := p.word(now, fresh)
-	w.Nonce, w.Granted = m.Nonce, granted
-	s.put(orders.Lease, w)
-	if before != p.core.arbiter.Controller {
-		p.spread(s)
-	}
-}
-
-func (s *session) Released(m *order.Release) {
-	p := s.p
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.core.arbiter.Tick(p.Clock.Mono())
-	if p.core.arbiter.Release(s.controller, s.process, m.Epoch) {
-		p.spread(nil)
-	}
-}
-
-func (s *session) Stood(m *order.Standing) {
-	p := s.p
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if s.open != m.Open {
-		s.open = m.Open
-		p.spread(nil)
-	}
-}
-
-// word is the proxy's word with the controllers that it can reach; the lock is held.
-func (p *Proxy) word(now float64, fresh bool) *order.Lease {
-	w := p.core.Word(now, fresh)
-	w.Reachable = p.reachable(now)
-	return w
-}
-
-// reachable names the controllers that are open to claims and were heard lately: a paused one keeps its streams.
-func (p *Proxy) reachable(now float64) (names []string) {
-	for _, s := range p.sessions {
-		if s.open && now-s.heard < sharing.HeardMs {
-			names = append(names, s.controller)
-		}
-	}
-	return names
-}
-
-// spread tells all controllers but one who commands the proxy; the lock is held.
-func (p *Proxy) spread(but *session) {
-	w := p.word(p.Clock.Mono(), false)
-	p.named = w.Reachable
-	for _, s := range p.sessions {
-		if s != but {
-			s.put(orders.Lease, w)
-		}
-	}
-}
-
-// leave ends a session's part in the sharing.
-func (p *Proxy) leave(s *session) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if n := slices.Index(p.sessions, s); n >= 0 {
-		p.sessions = slices.Delete(p.sessions, n, n+1)
-		p.spread(nil)
-	}
-}
-
-func (p *Proxy) stream(ctx context.Context, planner string, streams uint64) (joined bool, err error) {
-	dialling, cancel := context.WithTimeout(ctx, time.Duration(joinMs)*time.Millisecond)
-	conn, err := p.Network.Dial(dialling, p.from, planner)
-	cancel()
-	if err != nil {
-		return false, err
-	}
-	defer conn.Close()
-	end := orders.NewProxyEnd(orders.Limits{FrameBytes: int(p.Settings.GetFrameBytes()), JoinWithin: joinMs,
-		SilentAfter: settings.Ms(p.Settings.SilentAfter)}, p.Clock.Mono())
-	s := &session{p: p, out: make(chan outgoing, outboxSize), broken: make(chan struct{})}
-	p.mu.Lock()
-	join := &order.Join{Proxy: p.Settings.Name, Zone: p.Settings.Zone, UsualPerS: settings.PerS(p.Settings.Usual), Incarnation: p.start,
-		Stream: streams, Standing: !p.core.bound, Groups: uint32(len(p.Settings.Groups))}
-	if p.Settings.Sharing {
-		join.Lease = p.word(p.Clock.Mono(), false)
-	} else {
-		join.Holds = p.core.Holds()
-	}
-	p.mu.Unlock()
-	s.put(orders.Join, join)
-	streaming, stop := context.WithCancel(ctx)
-	var writer sync.WaitGroup
-	writer.Add(1)
-	go func() {
-		defer writer.Done()
-		p.write(streaming, ctx, s, conn, end)
-	}()
-	defer func() {
-		stop()
-		conn.Close()
-		writer.Wait()
-		p.leave(s)
-	}()
-	buf := make([]byte, readBytes)
-	for {
-		conn.SetReadDeadline(p.Clock.Deadline(max(end.Due()-p.Clock.Mono(), 1)))
-		n, err := conn.Read(buf)
-		end.Feed(p.Clock.Mono(), buf[:n])
-		if n > 0 {
-			p.mu.Lock()
-			s.heard = p.Clock.Mono()
-			p.mu.Unlock()
-		}
-		for s.refused == nil && end.Next(s) {
-		}
-		var timeout net.Error
-		switch {
-		case s.refused != nil:
-			return false, s.refused
-		case end.Ended() != nil:
-			return s.joined, end.Ended()
-		case err != nil && !(errors.As(err, &timeout) && timeout.Timeout()):
-			return s.joined, err
-		}
-	}
-}
-
-// write sends what is queued, and sums every while: to the planner that commands the proxy. The first come at a moment
-// drawn by the proxy's seed, as all proxies would otherwise report at once after a planner's restart.
-func (p *Proxy) write(streaming, proxy context.Context, s *session, conn net.Conn, end *orders.ProxyEnd) {
-	defer conn.Close()
-	var buf []byte
-	put := func(kind orders.Kind, m proto.Message) bool {
-		var err error
-		if buf, err = end.Append(buf[:0], kind, m); err != nil {
-			return false
-		}
-		conn.SetWriteDeadline(p.Clock.Deadline(writeMs))
-		_, err = conn.Write(buf)
-		return err == nil
-	}
-	every := settings.Ms(p.Settings.ReportEvery)
-	next := p.Clock.Mono() + every*rand.New(rand.NewSource(int64(p.start))).Float64()
-	for {
-		fired, stop := p.Clock.After(next - p.Clock.Mono())
-		select {
-		case <-streaming.Done():
-			stop()
-			if proxy.Err() != nil {
-				put(orders.Bye, &order.Bye{Reason: "the proxy ends"})
-			}
-			return
-		case <-s.broken:
-			stop()
-			return
-		case m := <-s.out:
-			stop()
-			if !put(m.kind, m.m) {
-				return
-			}
-		case <-fired:
-			next = p.Clock.Mono() + every
-			if kind, m := p.report(s); kind != 0 && !put(kind, m) {
-				return
-			}
-		}
-	}
-}
-
-// report gives what is to be said to a planner now: sums if it commands the proxy, else that the proxy lives.
-func (p *Proxy) report(s *session) (orders.Kind, proto.Message) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !s.joined {
-		return 0, nil
-	}
-	now := p.Clock.Mono()
-	if p.Settings.Sharing {
-		p.core.arbiter.Tick(now)
-		if a := &p.core.arbiter; a.Controller != s.controller || a.Incarnation != s.process {
-			return orders.Beat, nil
-		}
-	}
-	return orders.Sums, p.core.Sums(now)
-}
--- a/internal/standin/swarm.go
+++ b/internal/standin/swarm.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"math/rand"
+	"net"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -14,18 +18,18 @@
 
 	"lichenpick/internal/clock"
 	"lichenpick/internal/list"
-	"lichenpick/internal/orders"
 	"lichenpick/internal/proxy"
 	"lichenpick/proto/order"
 	pb "lichenpick/proto/settings"
 )
 
-// Swarm is many proxies that only speak the order stream: they obey tables, make up sums by the weights that they hold,
-// and answer. It loads a planner at sizes at which real flows would need more than one machine.
+// Swarm is many proxies that only speak the order stream: they obey tables, make up flows by the weights that they hold,
+// report and answer, by the product's own follower. It loads a planner at sizes at which real flows would need more than one machine.
 type Swarm struct {
 	Clock    clock.Clock
 	Network  clock.Network
-	Planner  string
+	Planners []string // addresses
+	Sharing  bool
 	Zones    []string // proxy n is in zone n modulo their number
 	Groups   []*pb.Group
 	Proxies  int
@@ -39,25 +43,37 @@
 
 	mu      sync.Mutex
 	applied *hdrhistogram.Histogram // us from the decision to the obeying
+	bare    *hdrhistogram.Histogram // us from the last word of a commander to the grant of the next
 	result  SwarmResult
+
+	up, down, dials atomic.Int64
 }
 
 // SwarmResult is what a swarm saw.
 type SwarmResult struct {
-	Joined, Bound, Lost     int
-	Messages, Orders, Bytes int
+	Dials, Bound, Takeovers int
+	Messages, Orders        int
 	AllBoundMs              float64 // from the first dial until every proxy was bound
 	P50Ms, P99Ms, MaxMs     float64
-	MostMessages            int // to one proxy within 10 s
+	MostMessages            int     // to one proxy within 10 s
+	Up, Down                int     // bytes to planners and from them
+	BareP50, BareP99        float64 // ms that a proxy was without a commander, where it went to another
+	BareMax                 float64
+}
+
+// Prepare writes the list, so that planners can be started before the swarm.
+func (s *Swarm) Prepare() error {
+	if s.List == "" {
+		return nil
+	}
+	return s.write(-1)
 }
 
 // Run lets the swarm live for some ms.
 func (s *Swarm) Run(ctx context.Context, ms float64) (SwarmResult, error) {
-	s.applied = hdrhistogram.New(1, 600e6, 3)
-	if s.List != "" {
-		if err := s.write(-1); err != nil {
-			return s.result, err
-		}
+	s.applied, s.bare = hdrhistogram.New(1, 600e6, 3), hdrhistogram.New(1, 600e6, 3)
+	if err := s.Prepare(); err != nil {
+		return s.result, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(ms*float64(time.Millisecond)))
 	defer cancel()
@@ -68,15 +84,12 @@
 			if clock.Sleep(ctx, s.Clock, s.JoinOver*float64(n)/float64(s.Proxies)) != nil {
 				return nil
 			}
-			for stream := uint64(1); ctx.Err() == nil; stream++ {
-				if err := s.live(ctx, n, stream, start); err != nil && ctx.Err() == nil {
-					s.mu.Lock()
-					s.result.Lost++
-					s.mu.Unlock()
-				}
-				clock.Sleep(ctx, s.Clock, 300)
-			}
-			return nil
+			m := s.join(n, start)
+			group.Go(func() error {
+				m.flows(ctx, rand.New(rand.NewSource(s.Seed+int64(n))))
+				return nil
+			})
+			return m.f.Follow(ctx)
 		})
 	}
 	if s.FlipMs > 0 && s.List != "" {
@@ -96,8 +109,11 @@
 	err := group.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := func(q float64) float64 { return float64(s.applied.ValueAtQuantile(q)) / 1000 }
-	s.result.P50Ms, s.result.P99Ms, s.result.MaxMs = at(50), at(99), float64(s.applied.Max())/1000
+	at := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	r := &s.result
+	r.P50Ms, r.P99Ms, r.MaxMs = at(s.applied, 50), at(s.applied, 99), at(s.applied, 100)
+	r.BareP50, r.BareP99, r.BareMax = at(s.bare, 50), at(s.bare, 99), at(s.bare, 100)
+	r.Dials, r.Up, r.Down = int(s.dials.Load()), int(s.up.Load()), int(s.down.Load())
 	return s.result, err
 }
 
@@ -115,32 +131,42 @@
 	return list.Save(s.List, l)
 }
 
-// member is one proxy of a swarm, on one stream.
+// member is one proxy of a swarm: the product's own part towards planners, with made-up flows.
 type member struct {
-	orders.Unshared
-	s       *Swarm
-	core    *proxy.Core
-	answers []*order.Applied
-	bound   bool
-	start   float64
-	recent  []float64
+	s      *Swarm
+	f      *proxy.Follower
+	bound  bool
+	recent []float64
 }
 
-func (m *member) Welcomed(w *order.Welcome) {
-	m.core.Welcomed(w)
-	m.answers = append(m.answers, &order.Applied{})
+func (s *Swarm) join(n int, start float64) *member {
+	set := &pb.Proxy{}
+	set.Name, set.Zone, set.Groups, set.Planners = fmt.Sprintf("swarm-%d", n), s.Zones[n%len(s.Zones)], s.Groups, s.Planners
+	if !s.Sharing { // each begins with another
+		k := n % len(s.Planners)
+		set.Planners = append(slices.Clone(s.Planners[k:]), s.Planners[:k]...)
+	}
+	set.Sharing, set.Seed = s.Sharing, proto.Uint64(uint64(s.Seed)+uint64(n))
+	set.Usual, set.ReportEvery = fmt.Sprintf("%g/s", s.PerS), fmt.Sprintf("%gms", s.EveryMs)
+	set.Redial, set.SilentAfter, set.FrameBytes = "300ms", "60s", proto.Uint32(16<<20)
+	m := &member{s: s, f: proxy.NewFollower(proxy.Options{Settings: set, Clock: s.Clock, Network: counted{s.Network, s}, Log: slog.New(slog.DiscardHandler)})}
+	m.f.Obeyed = func(o *order.Orders) { m.obeyed(o, start) }
+	m.f.Granted = func(bareMs float64) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.result.Takeovers++
+		s.bare.RecordValue(max(int64(bareMs*1000), 1))
+	}
+	return m
 }
 
-func (m *member) Ordered(o *order.Orders) {
-	receipts := m.core.Ordered(o)
-	now := m.s.Clock.Mono()
-	late := m.s.Clock.Wall().UnixMicro() - int64(o.DecidedUnixUs)
-	m.answers = append(m.answers, &order.Applied{Number: o.Number, Receipts: receipts})
+func (m *member) obeyed(o *order.Orders, start float64) {
+	s, now := m.s, m.s.Clock.Mono()
+	late := s.Clock.Wall().UnixMicro() - int64(o.DecidedUnixUs)
 	m.recent = append(m.recent, now)
 	for len(m.recent) > 0 && m.recent[0] <= now-10000 {
 		m.recent = m.recent[1:]
 	}
-	s := m.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applied.RecordValue(max(late, 1))
@@ -151,81 +177,61 @@
 		if x.GetBind() != nil && !m.bound {
 			m.bound = true
 			if s.result.Bound++; s.result.Bound == s.Proxies {
-				s.result.AllBoundMs = now - m.start
+				s.result.AllBoundMs = now - start
 			}
 		}
 	}
 }
 
-func (s *Swarm) live(ctx context.Context, n int, stream uint64, start float64) error {
-	conn, err := s.Network.Dial(ctx, netip.Addr{}, s.Planner)
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	end := orders.NewProxyEnd(orders.Limits{FrameBytes: 16 << 20, JoinWithin: 60000, SilentAfter: 60000}, s.Clock.Mono())
-	set := &pb.Proxy{Name: fmt.Sprintf("swarm-%d", n), Groups: s.Groups, Seed: proto.Uint64(uint64(s.Seed) + uint64(n))}
-	m := &member{s: s, core: proxy.NewCore(set, s.Clock.Mono()), start: start}
-	var buf []byte
-	put := func(kind orders.Kind, msg proto.Message) error {
-		var err error
-		if buf, err = end.Append(buf[:0], kind, msg); err == nil {
-			_, err = conn.Write(buf)
-		}
-		return err
-	}
-	if err := put(orders.Join, &order.Join{Proxy: set.Name, Zone: s.Zones[n%len(s.Zones)], UsualPerS: s.PerS, Incarnation: uint64(s.Seed) + 1,
-		Stream: stream, Groups: uint32(len(s.Groups)), Standing: true}); err != nil {
-		return err
-	}
-	s.mu.Lock()
-	s.result.Joined++
-	s.mu.Unlock()
-	chance := rand.New(rand.NewSource(s.Seed + int64(n)))
-	next := s.Clock.Mono() + chance.Float64()*s.EveryMs
-	in := make([]byte, 16<<10)
-	for ctx.Err() == nil {
-		conn.SetReadDeadline(s.Clock.Deadline(max(next-s.Clock.Mono(), 1)))
-		k, err := conn.Read(in)
-		end.Feed(s.Clock.Mono(), in[:k])
-		for end.Next(m) {
-		}
-		if end.Ended() != nil {
-			return end.Ended()
-		}
-		for _, a := range m.answers {
-			if err := put(orders.Applied, a); err != nil {
-				return err
-			}
-		}
-		m.answers = m.answers[:0]
-		if timeout, ok := err.(interface{ Timeout() bool }); err != nil && !(ok && timeout.Timeout()) {
-			return err
-		}
-		if now := s.Clock.Mono(); now >= next {
-			next += s.EveryMs
-			for range int(s.PerS*s.EveryMs/1000 + chance.Float64()) {
-				m.flow(now, chance)
-			}
-			sums := m.core.Sums(now)
-			if err := put(orders.Sums, sums); err != nil {
-				return err
+// flows makes some up each period until the context ends. All are delivered after some tens of ms.
+func (m *member) flows(ctx context.Context, chance *rand.Rand) {
+	every := m.s.EveryMs / 4
+	for clock.Sleep(ctx, m.s.Clock, every) == nil {
+		m.f.Do(func(c *proxy.Core) {
+			now := m.s.Clock.Mono()
+			for range int(m.s.PerS*every/1000 + chance.Float64()) {
+				f, ok := c.Admit(now, chance.Intn(len(m.s.Groups)))
+				if !ok {
+					continue
+				}
+				if to, _, ok := c.Pick(now, f); ok {
+					c.Ended(now, f, to, proxy.Delivered, 20+20*chance.ExpFloat64())
+				} else {
+					c.GaveUp(f)
+				}
 			}
-		}
+		})
 	}
-	return nil
 }
 
-// flow makes up one flow that is delivered after some tens of ms.
-func (m *member) flow(now float64, chance *rand.Rand) {
-	f, ok := m.core.Admit(now, chance.Intn(len(m.s.Groups)))
-	if !ok {
-		return
-	}
-	if to, _, ok := m.core.Pick(now, f); ok {
-		m.core.Ended(now, f, to, proxy.Delivered, 20+20*chance.ExpFloat64())
-	} else {
-		m.core.GaveUp(f)
+// counted counts what passes on a swarm's streams.
+type counted struct {
+	clock.Network
+	s *Swarm
+}
+
+type countedConn struct {
+	net.Conn
+	s *Swarm
+}
+
+func (c counted) Dial(ctx context.Context, from netip.Addr, to string) (net.Conn, error) {
+	conn, err := c.Network.Dial(ctx, from, to)
+	if err != nil {
+		return nil, err
 	}
+	c.s.dials.Add(1)
+	return countedConn{conn, c.s}, nil
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.s.down.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.s.up.Add(int64(n))
+	return n, err
 }
