A controller waits until a new proxy reaches the others, and hands hardly any over at a start

At a start each controller claimed what it reached first and handed two thirds over 3 s later: 97 of 211 takeovers of 171 proxies, each a whole table. A proxy's word now says how many controllers it dials; while it reaches fewer on a new stream, all wait, for 0.5 s at most. The stagger by rank counts from when the same controllers have been reachable, as else all that wait claim at once.

--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -15,7 +15,7 @@
 // out, and what a predecessor knew is kept.
 
 func viewOf(m *order.Lease) sharing.View {
-	return sharing.View{Epoch: m.Epoch, Controller: m.Controller, Incarnation: m.Incarnation, LeftMs: m.LeftMs, Reachable: m.Reachable}
+	return sharing.View{Epoch: m.Epoch, Controller: m.Controller, Incarnation: m.Incarnation, LeftMs: m.LeftMs, Reachable: m.Reachable, Controllers: int(m.Controllers)}
 }
 
 func (c *Core) standing() *order.Standing {
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -245,7 +245,7 @@
 // word is the proxy's word with the controllers that it can reach; the lock is held.
 func (p *Follower) word(now float64, fresh bool) *order.Lease {
 	w := p.core.Word(now, fresh)
-	w.Reachable = p.reachable(now)
+	w.Reachable, w.Controllers = p.reachable(now), uint32(len(p.Settings.Planners))
 	return w
 }
 
@@ -322,7 +322,7 @@
 		if n > 0 {
 			p.mu.Lock()
 			s.heard = p.Clock.Mono()
-			if a := &p.core.arbiter; a.Controller == s.controller && a.Incarnation == s.process {
+			if a := &p.core.arbiter; s.joined && a.Controller == s.controller && a.Incarnation == s.process {
 				p.spoke = s.heard
 			}
 			p.mu.Unlock()
--- a/internal/sharing/arbiter.go
+++ b/internal/sharing/arbiter.go
@@ -14,6 +14,7 @@
 	rateBound     = 0.1     // part by which two clocks may run apart; quartz keeps 0.0001, a paused machine does not count
 	marginMs      = 20.0    // ms of a lease that its holder does not use; a decision in hand is sent within that
 	staggerMs     = 150.0   // ms by which each next in rank waits to claim; a claim's way and answer take a tenth of it
+	gatherMs      = 500.0   // ms that a new stream's proxy may take to reach the other controllers; a redial takes as long
 	answerMs      = 600.0   // ms until a claim that was not answered is made again
 	settledMs     = 3000.0  // ms that a better placed controller must be reachable before it is handed proxies
 	mostBack      = 5       // doublings of that, as many as a proxy came back; a minute and a half then
--- a/internal/sharing/sharer.go
+++ b/internal/sharing/sharer.go
@@ -16,6 +16,7 @@
 	Incarnation uint64
 	LeftMs      float64
 	Reachable   []string
+	Controllers int // that it dials
 }
 
 // Host carries out a controller's decisions. Each method is one decision.
@@ -34,6 +35,8 @@
 	name      string
 	view      View
 	seen      float64 // when the view came
+	joined    float64 // when its stream came up
+	placed    float64 // since when the same controllers have been reachable
 	freeSince float64 // since when it has been free by that; infinite: it is not
 	asks      []ask   // claims not answered yet, oldest first
 	epoch     uint64  // under which it is ours; 0: it is not
@@ -117,7 +120,7 @@
 // Joined takes in a proxy's new stream, with its word. What was believed of an older stream is void.
 func (s *Sharer) Joined(proxy string, v View) {
 	s.Lost(proxy)
-	h := &holding{name: proxy, better: math.Inf(1), freeSince: math.Inf(1), handedAt: math.Inf(-1)}
+	h := &holding{name: proxy, better: math.Inf(1), freeSince: math.Inf(1), handedAt: math.Inf(-1), joined: s.now}
 	s.proxies[proxy] = h
 	heap.Push(&s.queue, h)
 	s.hear(h, v)
@@ -204,6 +207,9 @@
 }
 
 func (s *Sharer) hear(h *holding, v View) {
+	if !slices.Equal(v.Reachable, h.view.Reachable) {
+		h.placed = s.now
+	}
 	h.view, h.seen = v, s.now
 	if v.Controller == "" {
 		if math.IsInf(h.freeSince, 1) {
@@ -362,7 +368,10 @@
 		return at
 	}
 	free := math.Min(x.freeSince, x.seen+x.view.LeftMs*(1+rateBound)+marginMs)
-	return max(at, free+staggerMs*float64(x.rank))
+	if len(x.view.Reachable) < x.view.Controllers { // else each start would hand most proxies over a while later
+		at = max(at, x.joined+gatherMs)
+	}
+	return max(at, max(free, x.placed)+staggerMs*float64(x.rank))
 }
 
 // handAt is when a proxy should go to a better placed controller: one that has been reachable for a while, at a pace.
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -80,7 +80,7 @@
 func (c *controller) running() bool { return !c.dead && c.w.now >= c.pausedTill }
 
 func (p *edge) view() View {
-	v := View{Epoch: p.a.Epoch, Controller: p.a.Controller, Incarnation: p.a.Incarnation, LeftMs: p.a.Left() / p.rate}
+	v := View{Epoch: p.a.Epoch, Controller: p.a.Controller, Incarnation: p.a.Incarnation, LeftMs: p.a.Left() / p.rate, Controllers: len(p.w.names)}
 	for _, c := range p.w.names {
 		if p.link[c] && p.w.ctl[c].open && (!p.w.heard || p.w.ctl[c].running()) {
 			v.Reachable = append(v.Reachable, c)
@@ -310,6 +310,39 @@
 			t.Errorf("%v, before %v, %d takeovers; %s", got, before, b.s.Takeovers, w.wrong)
 		}
 	})
+	// At a start most proxies were claimed by whom they reached first, and handed over 3 s later. Waiting for the rest must
+	// not leave proxies alone where the rest is dead.
+	for name, late := range map[string]bool{"streams that come up one after the other bring no hand-overs": false,
+		"one controller of three takes all soon": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3, 3, 60)
+			a, b, c := w.ctl["A"], w.ctl["B"], w.ctl["C"]
+			for _, p := range w.proxies {
+				w.cut(p, b)
+				w.cut(p, c)
+			}
+			join := func(c *controller) {
+				for _, p := range w.proxies {
+					w.connect(p, c)
+				}
+			}
+			if late {
+				w.run(int(gatherMs + 3*staggerMs))
+				if got := w.commanders(); got["A"] != 60 {
+					t.Errorf("%v", got)
+				}
+				return
+			}
+			w.run(100)
+			join(b)
+			w.run(200)
+			join(c)
+			w.run(8000)
+			if n := a.s.Handed + b.s.Handed + c.s.Handed; n != 0 || w.commanders()["C"] < 10 {
+				t.Errorf("%d handed over, %v", n, w.commanders())
+			}
+		})
+	}
 	t.Run("one that is drained hands all over and leaves none without a commander for long", func(t *testing.T) {
 		w := newWorld(t, 3, 3, 30)
 		w.run(3000)
