Rehearsals hold orders back past a successor's grant, and fill a controller's disk

Reports say who holds what and how many lines were sent anew; the time without a commander counts from what was delivered, not from what a relay took in. The swarm says how soon a returned one has its share.

--- a/cmd/lichenpick/swarm.go
+++ b/cmd/lichenpick/swarm.go
@@ -119,12 +119,15 @@
 	used      []time.Duration
 	rss       []int64 // bytes
 	last      []planner.Status
+	proxies   int
+	backAt    float64 // when the killed one was started again
+	level     float64 // ms from then until it had nine tenths of its share
 }
 
 // newPack writes the files of planners on the next ports, and their stores where they share.
 func newPack(base *pb.Planner, proxies, planners int, dir string) (*pack, error) {
 	p := &pack{list: filepath.Join(dir, "list.txtpb"), running: make([]*exec.Cmd, planners), used: make([]time.Duration, planners),
-		rss: make([]int64, planners), last: make([]planner.Status, planners)}
+		rss: make([]int64, planners), last: make([]planner.Status, planners), proxies: proxies}
 	for n := range planners {
 		set := proto.Clone(base).(*pb.Planner)
 		set.Name = fmt.Sprintf("planner-%d", n+1)
@@ -220,9 +223,12 @@
 			p.end(1, os.Kill)
 		}
 		if killAt > 0 && len(p.files) > 1 && !back && now >= killAt+backAfter {
-			back = true
+			back, p.backAt = true, now
 			p.run(1)
 		}
+		if p.backAt > 0 && p.level == 0 && p.running[1] != nil && p.ask(1) == nil && p.last[1].Commanded*len(p.files)*10 >= 9*p.proxies {
+			p.level = now - p.backAt
+		}
 		for n := range p.files {
 			if p.running[n] != nil && now < ms-300 {
 				p.ask(n)
@@ -245,5 +251,8 @@
 		fmt.Fprintf(t, "%s\t%.2f\t%.0f\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\n", s.Planner, p.used[n].Seconds(), float64(p.rss[n])/1e6, s.Commanded,
 			s.Takeovers, s.Handed, s.Expired, s.Marks, s.Messages, s.LinesMost, s.Shed)
 	}
+	if p.level > 0 {
+		fmt.Fprintf(t, "the one killed had nine tenths of its share %.1f s after it was started again\n", p.level/1000)
+	}
 	return t.Flush()
 }
--- a/internal/rehearsal/control.go
+++ b/internal/rehearsal/control.go
@@ -11,9 +11,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
 	"lichenpick/internal/clock"
@@ -39,6 +41,9 @@
 	stop  func() // ends the one in this process
 	ended chan struct{}
 	cmd   *exec.Cmd
+
+	mu     sync.Mutex
+	noDisk bool // writes of its process fail
 }
 
 func (f *fleet) planners() int {
@@ -185,6 +190,11 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	c.mu.Lock()
+	if c.noDisk {
+		limitFiles(cmd.Process.Pid, true)
+	}
+	c.mu.Unlock()
 	ended := make(chan struct{})
 	c.cmd, c.ended, c.status = cmd, ended, set.Status
 	go func() {
@@ -225,6 +235,25 @@
 	return s, json.NewDecoder(resp.Body).Decode(s)
 }
 
+// full makes writes to files fail in its process, now and when it starts again, or ends that.
+func (c *control) full(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noDisk = on
+	if c.cmd != nil {
+		limitFiles(c.cmd.Process.Pid, on) // one that has ended needs none
+	}
+}
+
+// limitFiles lets a process write to no file, or to any. The kernel refuses its writes then, as on a full disk.
+func limitFiles(pid int, on bool) {
+	most := uint64(unix.RLIM_INFINITY)
+	if on {
+		most = 0
+	}
+	unix.Prlimit(pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: most, Max: unix.RLIM_INFINITY}, nil)
+}
+
 // drain asks a process to hand its proxies over, or to take part again.
 func (c *control) drain(on bool) error {
 	resp, err := http.Post(fmt.Sprintf("http://%s/drain?on=%t", c.status, on), "", nil)
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -6,8 +6,10 @@
 	"os"
 	"os/exec"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/encoding/prototext"
 	"google.golang.org/protobuf/proto"
@@ -24,6 +26,19 @@
 // The test binary runs as a planner where this is set.
 const asPlanner = "LICHENPICK_TEST_AS_PLANNER"
 
+// Where this is set too, the planner's clock runs by that rate.
+const withRate = "LICHENPICK_TEST_RATE"
+
+// rated is a clock that runs too fast or too slowly; its date is right.
+type rated struct {
+	*clock.Real
+	rate float64
+}
+
+func (r rated) Mono() float64                               { return r.Real.Mono() * r.rate }
+func (r rated) After(ms float64) (<-chan time.Time, func()) { return r.Real.After(ms / r.rate) }
+func (r rated) Deadline(ms float64) time.Time               { return r.Real.Deadline(ms / r.rate) }
+
 func TestMain(m *testing.M) {
 	if file := os.Getenv(asPlanner); file != "" {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
@@ -32,7 +47,14 @@
 		if err := settings.Load(file, set); err != nil {
 			panic(err)
 		}
-		c := clock.NewReal()
+		c := rated{clock.NewReal(), 1}
+		if text := os.Getenv(withRate); text != "" {
+			rate, err := strconv.ParseFloat(text, 64)
+			if err != nil {
+				panic(err)
+			}
+			c.rate = rate
+		}
 		from := set.List.GetStream()
 		err := planner.Run(ctx, planner.Options{Settings: set, Clock: c, Network: clock.TCP{}, Log: quiet(),
 			Source: &list.Stream{Address: from.Address, RedialMs: 200, SilentMs: 5000, FrameBytes: 16 << 20, Clock: c, Network: clock.TCP{}}})
@@ -251,4 +273,62 @@
 			t.Errorf("service %.3f, %d takeovers, broken %v: %v", d.Service, d.Takeovers, d.Broken, d.Breaches)
 		}
 	})
+	// Each is a hard hour of its own: rules kept, and all proxies commanded again at the end.
+	const onFull = "one restarts on a full disk, and commands nothing"
+	for name, more := range map[string]string{
+		"a fourth controller joins under load": `controllers: 4 length: "10s" traffic { rate: "160/s" }
+			troubles { at: "0s" lasts: "3s" planner_restart { controller: 3 kill: true } }`,
+		"a takeover amid a drain": `controllers: 3 length: "9s" troubles { at: "2500ms" lasts: "3s" deploy { servers: 3 drain: "6s" } }
+			troubles { at: "3s" lasts: "3s" planner_restart { controller: 0 kill: true after_bytes: 50 } }`,
+		"a takeover amid a zone's loss": `controllers: 3 length: "9s" troubles { at: "3s" lasts: "3s" zone_loss { zone: "a" } }
+			troubles { at: "3200ms" lasts: "3s" planner_restart { controller: 1 kill: true } }`,
+		"all three restarted at once": `controllers: 3 length: "9s" bare_within: "5s" troubles { at: "3s" lasts: "1s" planner_restart { controller: 0 kill: true } }
+			troubles { at: "3s" lasts: "1s" planner_restart { controller: 1 kill: true } }
+			troubles { at: "3s" lasts: "1s" planner_restart { controller: 2 kill: true } }`,
+		onFull: `controllers: 3 length: "9s" places { name: "d" proxies: 6 servers: 4 } troubles { at: "1s" lasts: "30s" disk_full { controller: 0 } }
+			troubles { at: "1500ms" lasts: "500ms" planner_restart { controller: 0 kill: true } }`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := play(t, `sharing: true `+more, Hooks{Spawn: spawned})
+			if len(d.Broken) > 0 || d.Service < 0.6 || d.commanded() != d.Proxies || name == onFull && d.Holders["planner-1"] > 0 {
+				t.Errorf("service %.3f, %v hold %d proxies at the end, broken %v: %v", d.Service, d.Holders, d.Proxies, d.Broken, d.Breaches)
+			}
+		})
+	}
+	t.Run("a controller whose clock runs fast", func(t *testing.T) {
+		t.Parallel()
+		n := 0
+		d := play(t, shared, Hooks{Spawn: func(file string) *exec.Cmd {
+			c := spawned(file)
+			if n++; n == 1 {
+				c.Env = append(c.Env, withRate+"=1.05")
+			}
+			return c
+		}})
+		if len(d.Broken) > 0 || d.Takeovers == 0 || d.Service < 0.7 {
+			t.Errorf("service %.3f, %d takeovers, broken %v: %v", d.Service, d.Takeovers, d.Broken, d.Breaches)
+		}
+	})
+	// What a controller sends is held back for longer than its lease, while a release makes it decide. Guards against proxies
+	// that obey a controller which is past; a drain is answered late in it, so the grace must be long. By 4 s each holds its share.
+	const held = `controllers: 3 sharing: true length: "9s" limits { drain_grace: "20s" warm_up: "5s" fall_window: "1s" }
+		places { name: "c" proxies: 4 servers: 4 }
+		troubles { at: "3500ms" lasts: "3s" deploy { servers: 8 drain: "20s" } }
+		troubles { at: "4s" lasts: "3s" controller_cut { controller: 0 hold: true } }
+		troubles { at: "4s" lasts: "3s" controller_cut { controller: 1 hold: true } }`
+	t.Run("orders that come after a successor's are refused", func(t *testing.T) {
+		t.Parallel()
+		d := play(t, held, Hooks{Spawn: spawned})
+		if len(d.Broken) > 0 || d.Refused == 0 {
+			t.Errorf("%d past messages refused, broken %v: %v", d.Refused, d.Broken, d.Breaches)
+		}
+	})
+	t.Run("planted: proxies that check no epoch", func(t *testing.T) {
+		t.Parallel()
+		d := play(t, held, Hooks{Spawn: spawned, Unfenced: true})
+		if d.Broken["stale-order"] == 0 {
+			t.Errorf("broken %v, want a stale order", d.Broken)
+		}
+	})
 }
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -58,8 +58,17 @@
 	Takeovers                  int
 	BareP50, BareP99, BareMost float64 // from the last frame of the one before to the grant of the next
 	Refused                    int
-	CPUMs                      float64 // of planners that ran as processes
-	UpBytes, DownBytes         int     // of streams, from proxies and to them
+	Holders                    map[string]int // proxies of each controller at the end
+	Reissued                   int            // lines of whole tables that proxies were sent again by a next commander
+	CPUMs                      float64        // of planners that ran as processes
+	UpBytes, DownBytes         int            // of streams, from proxies and to them
+}
+
+func (d *Day) commanded() (n int) {
+	for _, held := range d.Holders {
+		n += held
+	}
+	return n
 }
 
 // takeovers sums up those after each proxy's first.
@@ -176,6 +185,7 @@
 	messages, lines, tries, odd := f.judge.checker.Messages, f.judge.checker.Lines, f.judge.checker.Flows, maps.Clone(f.judge.odd)
 	up, down := f.judge.up, f.judge.down
 	takeovers, refused := slices.Clone(f.judge.checker.Takeovers), f.judge.checker.Refused
+	holders, reissued := f.judge.checker.Holders(), f.judge.checker.Reissued
 	f.judge.mu.Unlock()
 	f.finish()
 	cancel()
@@ -187,7 +197,7 @@
 	if f.hung > 0 {
 		d.Unread["planners that did not end when told"] = f.hung
 	}
-	d.UpBytes, d.DownBytes = up, down
+	d.UpBytes, d.DownBytes, d.Holders, d.Reissued = up, down, holders, reissued
 	d.takeovers(takeovers)
 	return d, nil
 }
@@ -272,8 +282,8 @@
 	}
 	t.Flush()
 	if d := r.Days[0]; d.Takeovers > 0 {
-		fmt.Fprintf(w, "sharing: %d takeovers after the first; from the last word of the one before %.0f ms (p50), %.0f (p99), %.0f at most; %d past messages refused\n",
-			d.Takeovers, d.BareP50, d.BareP99, d.BareMost, d.Refused)
+		fmt.Fprintf(w, "sharing: %d takeovers after the first; from the last word of the one before %.0f ms (p50), %.0f (p99), %.0f at most; %d past messages refused; %d lines of tables sent anew; %d of %d commanded at the end\n",
+			d.Takeovers, d.BareP50, d.BareP99, d.BareMost, d.Refused, d.Reissued, d.commanded(), d.Proxies)
 	}
 	for _, b := range r.Days[0].Breaches {
 		fmt.Fprintf(w, "broken: %s at %.0f ms: %s\n", b.Rule, b.AtMs, b.Evidence)
--- a/internal/rehearsal/trouble.go
+++ b/internal/rehearsal/trouble.go
@@ -114,6 +114,11 @@
 			wait()
 			return c.drain(false)
 		}
+	case *script.Trouble_DiskFull:
+		c := f.control(w.DiskFull.GetController())
+		c.full(true)
+		wait()
+		c.full(false)
 	case *script.Trouble_StreamBreak:
 		// Streams of one zone share an address, so that a share of them is drawn by zone.
 		share := w.StreamBreak.GetShare()
--- a/internal/rehearsal/watch.go
+++ b/internal/rehearsal/watch.go
@@ -107,7 +107,6 @@
 			return
 		}
 		end += 20 + len(f.Body)
-		w.j.checker.Spoke(w.proxy, w.planner, at)
 		switch f.Kind {
 		case orders.Welcome:
 			m := &order.Welcome{}
@@ -128,6 +127,7 @@
 	w.j.mu.Lock()
 	defer w.j.mu.Unlock()
 	w.reached += n
+	w.j.checker.Spoke(w.proxy, w.planner, at)
 	for len(w.undelivered) > 0 && w.undelivered[0].end <= w.reached {
 		u := w.undelivered[0]
 		w.undelivered = w.undelivered[1:]
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -111,6 +111,7 @@
 	holder   string // by its own grants; empty: free
 	epoch    uint64
 	count    uint64 // of its word that granted that
+	grants   int    // to new commanders
 	granted  float64
 	passed   map[string]map[uint64]uint64 // epochs of messages not answered yet, by controller and number
 }
@@ -148,6 +149,7 @@
 
 	Takeovers []Takeover
 	Refused   int // messages that proxies refused, as they were past
+	Reissued  int // lines of tables that later commanders bound
 }
 
 // NewChecker makes one that has seen nothing.
@@ -264,7 +266,7 @@
 			free = at
 		}
 		c.Takeovers = append(c.Takeovers, Takeover{name, controller, q.spoke, free, at})
-		q.spoke = at
+		q.spoke, q.grants = at, q.grants+1
 		q.holder, q.epoch, q.count, q.granted, q.joined = controller, m.Epoch, m.Count, at, at
 		c.hold(name, q, at, m)
 	case m.Controller == "" && q.holder != "" && m.Epoch == q.epoch && m.Count > q.count:
@@ -305,6 +307,17 @@
 	c.look(name, q, at)
 }
 
+// Holders counts each controller's proxies now.
+func (c *Checker) Holders() map[string]int {
+	held := map[string]int{}
+	for _, q := range c.proxies {
+		if q.holder != "" {
+			held[q.holder]++
+		}
+	}
+	return held
+}
+
 // Obeyed saw a proxy's answer to a message of a controller: whether it obeyed is its own word.
 func (c *Checker) Obeyed(name, controller string, at float64, m *order.Applied) {
 	q := c.proxies[name]
@@ -375,6 +388,9 @@
 	for _, o := range m.Orders {
 		switch w := o.What.(type) {
 		case *order.Order_Bind:
+			if q.grants > 1 {
+				c.Reissued += len(w.Bind.Lines)
+			}
 			t := &lines{weights: map[string]float64{}, out: q.out}
 			for _, l := range w.Bind.Lines {
 				t.weights[l.Server] = l.Weight
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -10,7 +10,9 @@
 	"hash/crc32"
 	"io/fs"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -67,6 +69,7 @@
 
 // Open opens the store of a controller.
 func Open(path, name string) (s *Store, err error) {
+	signal.Ignore(syscall.SIGXFSZ) // a limit on file sizes is to show as a failed write, not to end the process
 	if _, err := os.Stat(path); err != nil {
 		if errors.Is(err, fs.ErrNotExist) {
 			err = ErrNone
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -5,6 +5,8 @@
 	"os"
 	"path/filepath"
 	"testing"
+
+	"golang.org/x/sys/unix"
 )
 
 func TestStore(t *testing.T) {
@@ -107,3 +109,42 @@
 		t.Logf("%d opened with the right mark, %d refused", opened, refused)
 	})
 }
+
+// The kernel refuses writes, as on a full disk: nothing is reserved, what was stays, and it goes on once there is room.
+func TestFullDisk(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "store")
+	if err := Init(path, "a"); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Open(path, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Reserve(1000); err != nil {
+		t.Fatal(err)
+	}
+	var old unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_FSIZE, &old); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Setrlimit(unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 0, Max: old.Max}); err != nil {
+		t.Fatal(err)
+	}
+	err = s.Reserve(2000)
+	if err2 := unix.Setrlimit(unix.RLIMIT_FSIZE, &old); err2 != nil {
+		t.Fatal(err2)
+	}
+	if err == nil || s.Mark() != 1000 {
+		t.Fatalf("reserved up to %d on a full disk: %v", s.Mark(), err)
+	}
+	if err := s.Reserve(3000); err != nil {
+		t.Fatalf("with room again: %v", err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if s, err = Open(path, "a"); err != nil || s.Mark() != 3000 {
+		t.Fatalf("opened again: %v", err)
+	}
+	s.Close()
+}
