The planner's core no longer looks through all servers and proxies at each decision

At 5,000 proxies one goroutine took 58% of the planner's CPU, two thirds of it in looking through the list's memory and all proxies for nothing. The list is looked at when a word came or something is due, late answers have a lower bound, sums have places that are kept, inputs are put into words only for a dump. The module sums usage without copies and keeps samples in place; no decision changes.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -283,8 +283,12 @@
 	return sum
 }
 
+// keep appends to the last ones, in place, as there are many.
 func keep[T any](list []T, last T, most int) []T {
-	return append(slices.Clone(list[max(0, len(list)-most+1):]), last)
+	if drop := len(list) - most + 1; drop > 0 {
+		list = slices.Delete(list, 0, drop)
+	}
+	return append(list, last)
 }
 
 func (p *Planner) Heard(name string, zone, count, failed int, latency, covers float64) {
@@ -409,10 +413,14 @@
 	for k := range p.parts {
 		c, brings := p.clients[q.zone*p.parts+k], 0.0
 		for _, g := range c.groups {
-			came := q.usual / float64(len(p.levels)) // by its own word until it is heard
-			recent := only(q.usage[g], func(a sum) bool { return a.at > p.now-p.window })
-			if span := total(recent, func(a sum) float64 { return a.covers }); span > 0 {
-				came = total(recent, sum.tries) / span * 1000
+			came, span, tries := q.usual/float64(len(p.levels)), 0.0, 0.0 // by its own word until it is heard
+			for _, a := range q.usage[g] { // a loop, as there are many proxies
+				if a.at > p.now-p.window {
+					span, tries = span+a.covers, tries+a.tries()
+				}
+			}
+			if span > 0 {
+				came = tries / span * 1000
 			}
 			brings, p.levels[g].came = brings+came*p.levels[g].want, p.levels[g].came+came
 		}
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -72,6 +72,8 @@
 	told    bool // a first list was told
 	fresh   bool // a first list came
 	stale   bool // and was kept over a restart
+	news    bool // a word came since the last look
+	due     float64
 
 	Refused int // entries over the limit or of zones not known, in all
 	Doubted int // entries missing that are kept for now
@@ -79,7 +81,7 @@
 
 // NewMemory makes one for zones by name, that holds at most so many servers.
 func NewMemory(zones []string, most int) *Memory {
-	m := &Memory{zones: map[string]int{}, most: most, servers: map[string]*held{}}
+	m := &Memory{zones: map[string]int{}, most: most, servers: map[string]*held{}, due: math.Inf(1)}
 	for n, z := range zones {
 		m.zones[z] = n
 	}
@@ -95,6 +97,7 @@
 		m.failed = true
 		return
 	}
+	m.news = true
 	m.stale = u.Restored && !m.fresh
 	m.fresh = true
 	if u.Form == brain.Whole {
@@ -176,9 +179,10 @@
 		h.Listed(brain.Failed, nil)
 		return true
 	}
-	if !m.fresh {
+	if !m.fresh || !m.news && m.now < m.due {
 		return false
 	}
+	m.news, m.due = false, math.Inf(1)
 	var list []brain.Entry
 	for _, name := range m.order {
 		s := m.servers[name]
@@ -186,6 +190,9 @@
 			s.State, s.changed = brain.Gone, true
 			m.Doubted = max(m.Doubted-1, 0)
 		}
+		if !s.listed && s.State != brain.Gone {
+			m.due = math.Min(m.due, s.vanish)
+		}
 		if s.changed || !m.told && s.State != brain.Gone {
 			s.changed = false
 			list = append(list, brain.Entry{Server: name, Zone: m.zones[s.Zone], State: s.State, Size: s.Size, BornMs: s.born})
@@ -205,13 +212,10 @@
 
 // Due is when something missing will be believed gone, in ms; infinite if nothing is.
 func (m *Memory) Due() float64 {
-	due := math.Inf(1)
-	for _, h := range m.servers {
-		if !h.listed && h.State != brain.Gone {
-			due = math.Min(due, h.vanish)
-		}
+	if m.news {
+		return m.now
 	}
-	return due
+	return m.due
 }
 
 // Servers counts what is held by state.
--- /dev/null
+++ b/internal/planner/bench_test.go
@@ -0,0 +1,120 @@
+package planner
+
+import (
+	"fmt"
+	"math/rand"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"lichenpick/brain"
+	"lichenpick/internal/list"
+	"lichenpick/internal/orders"
+	"lichenpick/internal/settings"
+	"lichenpick/proto/order"
+	pb "lichenpick/proto/settings"
+)
+
+// loaded is a core under proxies that report once a second, each about so many of its servers, and answer at the next look.
+type loaded struct {
+	*Core
+	now     float64
+	streams []*Stream
+	reports []*order.Sums
+	answers []answering
+	lines   int
+	looks   int
+}
+
+type answering struct {
+	to *Stream
+	m  *order.Applied
+}
+
+const perLook = 200 // looks a second: at these sizes the core hardly sleeps
+
+func (l *loaded) Send(s *Stream, kind orders.Kind, m proto.Message) {
+	if o, ok := m.(*order.Orders); ok {
+		a := &order.Applied{Number: o.Number}
+		for _, x := range o.Orders {
+			if r, ok := x.What.(*order.Order_Receipt); ok {
+				a.Receipts = append(a.Receipts, r.Receipt)
+			}
+		}
+		l.lines += len(o.Orders)
+		l.answers = append(l.answers, answering{s, a})
+	} else if kind == orders.Welcome {
+		l.answers = append(l.answers, answering{s, &order.Applied{}})
+	}
+}
+func (l *loaded) End(s *Stream, why *orders.Ending) { panic(fmt.Sprint(s.Name(), " ended: ", why)) }
+func (l *loaded) Wake(float64)                      {}
+func (l *loaded) Reserve(uint64)                    {}
+
+func load(tb testing.TB, proxies, servers int) *loaded {
+	set := &pb.Planner{}
+	text := file + fmt.Sprintf(`proxies: %d channel { lines: "100000/s" most_waiting: 300000 longest_way: "400ms" }
+		reports { intake: "5000/s" } streams { most: 20000 }`, proxies)
+	if err := settings.Parse("bench", []byte(text), set); err != nil {
+		tb.Fatal(err)
+	}
+	l := &loaded{Core: NewCore(set, NewModule(set), 1, 0)}
+	u := list.Update{Form: brain.Whole, AsOfMs: 1e12}
+	for i := range servers {
+		u.Entries = append(u.Entries, list.Entry{Server: fmt.Sprintf("127.9.%d.%d:8000", i/250, i%250+1), Zone: string("ab"[i%2]), Size: 1})
+	}
+	l.Listed(u)
+	chance := rand.New(rand.NewSource(1))
+	for n := range proxies {
+		s := &Stream{Address: netip.MustParseAddr("127.1.0.1")}
+		l.Joined(s, &order.Join{Proxy: fmt.Sprint("p", n), Zone: string("ab"[n%2]), UsualPerS: 5, Incarnation: 1, Stream: 1, Groups: 2})
+		l.streams = append(l.streams, s)
+		m := &order.Sums{CoversMs: 1000, Groups: []*order.GroupSum{{Group: 0, Came: 4}, {Group: 1, Came: 1}}}
+		for range 5 {
+			m.Servers = append(m.Servers, &order.ServerSum{Server: u.Entries[chance.Intn(servers)].Server, Tries: 1, LatencyMs: 20 + 40*chance.Float64()})
+		}
+		l.reports = append(l.reports, m)
+	}
+	for range 4 {
+		l.second()
+	}
+	return l
+}
+
+// second lets one pass.
+func (l *loaded) second() {
+	next := 0
+	for k := range perLook {
+		l.now += 1000.0 / perLook
+		l.Tick(l.now, time.UnixMilli(int64(1e12+l.now)))
+		for ; next < len(l.streams)*(k+1)/perLook; next++ {
+			l.Summed(l.streams[next], l.reports[next])
+		}
+		answers := l.answers
+		l.answers = nil
+		for _, a := range answers {
+			l.Answered(a.to, a.m)
+		}
+		for l.Next(l) {
+			l.looks++
+		}
+	}
+}
+
+// BenchmarkPlannerSecond is one second of the core's own goroutine: what it takes of one core, without sockets.
+func BenchmarkPlannerSecond(b *testing.B) {
+	for _, size := range [][2]int{{171, 81}, {500, 500}, {2000, 500}, {5000, 1000}} {
+		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
+			l := load(b, size[0], size[1])
+			l.lines = 0
+			b.ReportAllocs()
+			for b.Loop() {
+				l.second()
+			}
+			b.ReportMetric(float64(l.lines)/float64(b.N), "lines/op")
+			b.ReportMetric(float64(size[0]), "reports/op")
+		})
+	}
+}
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -81,6 +81,14 @@
 	going       []string           // what its last commander withdrew as it drains or is gone
 	inherited   map[string]float64 // of these, what our list does not show: kept out until then
 	before      []float64          // messages that others sent it, as times of the clock
+	usage       []*tally           // by group
+}
+
+// listing is a server as the list last named it.
+type listing struct {
+	state   brain.State
+	tallies []*tally // by the zone of the proxies that met it
+	since   float64  // of the state
 }
 
 // sent is a message that was not answered yet.
@@ -111,6 +119,7 @@
 type input struct {
 	at   float64
 	what string
+	s    *Stream // whose; may be nil
 	m    proto.Message
 }
 
@@ -132,7 +141,7 @@
 	channel     *orders.Channel[*message]
 	zones       *bart.Table[int]
 	zoneNames   map[string]int
-	listed      map[string]brain.State
+	listed      map[string]*listing
 	names       map[string]*peer
 	peers       []*peer // by the module's number; nil where one left
 	free        []int
@@ -146,6 +155,7 @@
 	inputs      [lastInputs]input
 	nextInput   int
 	listChanged bool
+	answerDue   float64         // no answer is late before
 	share       *sharing.Sharer // nil: nothing is shared
 	shareWake   float64
 	heirs       []*peer // with drains that a predecessor knew
@@ -180,7 +190,7 @@
 // NewCore starts a planner at a time. The incarnation tells it from earlier ones under its name.
 func NewCore(set *pb.Planner, module Decider, incarnation uint64, now float64) *Core {
 	c := &Core{module: module, set: set, incarnation: incarnation, now: now, zones: &bart.Table[int]{}, zoneNames: map[string]int{},
-		listed: map[string]brain.State{}, names: map[string]*peer{}, tables: map[int]*table{}, out: map[string]bool{},
+		listed: map[string]*listing{}, names: map[string]*peer{}, tables: map[int]*table{}, out: map[string]bool{},
 		levels: make([]level, len(set.Groups)), toldWake: math.Inf(1), Order: hdrhistogram.New(1, 600e6, 3)}
 	c.Counts.Endings = map[orders.Reason]uint64{}
 	var names []string
@@ -245,8 +255,8 @@
 	}
 }
 
-func (c *Core) keep(what string, m proto.Message) {
-	c.inputs[c.nextInput%lastInputs] = input{c.now, what, m}
+func (c *Core) keep(what string, s *Stream, m proto.Message) {
+	c.inputs[c.nextInput%lastInputs] = input{c.now, what, s, m}
 	c.nextInput++
 }
 
@@ -255,6 +265,9 @@
 	for n := max(0, c.nextInput-lastInputs); n < c.nextInput; n++ {
 		in := c.inputs[n%lastInputs]
 		text := fmt.Sprintf("%.3f %s", in.at, in.what)
+		if in.s != nil {
+			text += " " + in.s.Name()
+		}
 		if in.m != nil {
 			text += " " + strings.Join(strings.Fields(fmt.Sprint(in.m)), " ")
 		}
@@ -264,13 +277,13 @@
 
 // Listed takes in a word of the list source.
 func (c *Core) Listed(u list.Update) {
-	c.keep(fmt.Sprintf("list form=%d version=%d as_of=%d entries=%d %s", u.Form, u.Version, u.AsOfMs, len(u.Entries), u.Trouble), nil)
+	c.keep(fmt.Sprintf("list form=%d version=%d as_of=%d entries=%d %s", u.Form, u.Version, u.AsOfMs, len(u.Entries), u.Trouble), nil, nil)
 	c.memory.Told(u)
 }
 
 // Joined takes in a proxy's first frame.
 func (c *Core) Joined(s *Stream, j *order.Join) {
-	c.keep("join", j)
+	c.keep("join", nil, j)
 	if s.ended {
 		return
 	}
@@ -328,7 +341,7 @@
 			}
 		}
 	}
-	p.unanswered = append(p.unanswered, sent{decided: c.now, must: len(w.Withdrawn) > 0})
+	c.await(p, sent{decided: c.now, must: len(w.Withdrawn) > 0})
 	p.commanded = true
 	c.module.Joined(p.number, zone, j.UsualPerS)
 	c.todo = append(c.todo, func(h Host) { h.Send(s, orders.Welcome, w) })
@@ -336,7 +349,7 @@
 
 // Lost takes in that a stream ended, by whomever.
 func (c *Core) Lost(s *Stream, why *orders.Ending) {
-	c.keep("lost "+s.Name()+" "+why.Error(), nil)
+	c.keep("lost, "+why.Error()+",", s, nil)
 	if !s.ended {
 		c.Counts.Endings[why.Reason]++
 	}
@@ -373,7 +386,8 @@
 func (c *Core) unseat(p *peer) {
 	p.commanded = false
 	c.channel.Drop(p.link)
-	c.intake.forget(p, len(c.levels))
+	c.intake.forget(p.usage)
+	p.usage = nil
 	for g, t := range p.tables {
 		if t != nil {
 			t.users = slices.DeleteFunc(t.users, func(q *peer) bool { return q == p })
@@ -394,7 +408,7 @@
 
 // Summed takes in what a proxy met. Sums of servers that were never listed are not heard.
 func (c *Core) Summed(s *Stream, m *order.Sums) {
-	c.keep("sums "+s.Name(), m)
+	c.keep("sums", s, m)
 	p := s.peer
 	if p == nil || s.ended {
 		return
@@ -403,23 +417,35 @@
 		return
 	}
 	for _, x := range m.Servers {
-		if _, known := c.listed[x.Server]; !known || x.Tries == 0 {
+		l := c.listed[x.Server]
+		if l == nil || x.Tries == 0 {
 			c.Counts.Unheard++
 			continue
 		}
+		if l.tallies == nil {
+			l.tallies = make([]*tally, len(c.set.Zones))
+		}
+		if l.tallies[p.zone] == nil {
+			l.tallies[p.zone] = &tally{server: x.Server, zone: p.zone}
+		}
 		c.Counts.Sums++
-		c.intake.add(serverKey{x.Server, p.zone}, int(x.Tries), int(x.Dropped), x.LatencyMs)
+		c.intake.add(l.tallies[p.zone], int(x.Tries), int(x.Dropped), x.LatencyMs)
+	}
+	if p.usage == nil {
+		for g := range c.levels {
+			p.usage = append(p.usage, &tally{proxy: p, group: g})
+		}
 	}
 	for _, x := range m.Groups {
 		if int(x.Group) < len(c.levels) {
-			c.intake.add(usageKey{p, int(x.Group)}, int(x.Came), int(x.Dropped), 0)
+			c.intake.add(p.usage[x.Group], int(x.Came), int(x.Dropped), 0)
 		}
 	}
 }
 
 // Answered takes in that a proxy has applied a message and all before.
 func (c *Core) Answered(s *Stream, m *order.Applied) {
-	c.keep("applied "+s.Name(), m)
+	c.keep("applied", s, m)
 	p := s.peer
 	if p == nil || s.ended {
 		return
@@ -477,14 +503,35 @@
 		c.send(h, m.What, m.Decided)
 		return true
 	}
+	if c.now >= c.answerDue && c.unanswered() {
+		return true
+	}
+	return c.wake(h)
+}
+
+// unanswered ends at most one stream on which no answer came in time, and says whether it did. What is due next only comes
+// later than was thought as answers come, so that all are looked at only then.
+func (c *Core) unanswered() bool {
+	c.answerDue = math.Inf(1)
 	for _, p := range c.peers {
-		if p != nil && len(p.unanswered) > 0 && c.now >= c.answerBy(p) {
+		if p == nil || len(p.unanswered) == 0 {
+			continue
+		}
+		by := c.answerBy(p)
+		if c.now >= by {
+			c.answerDue = c.now
 			c.end(p.stream, &orders.Ending{Reason: orders.NoAnswer, Detail: fmt.Sprintf("message %d of %d, decided %.0f ms ago",
 				p.unanswered[0].number, p.messages, c.now-p.unanswered[0].decided)})
 			return true
 		}
+		c.answerDue = math.Min(c.answerDue, by)
 	}
-	return c.wake(h)
+	return false
+}
+
+func (c *Core) await(p *peer, u sent) {
+	p.unanswered = append(p.unanswered, u)
+	c.answerDue = math.Min(c.answerDue, c.answerBy(p))
 }
 
 // answerBy is when a proxy must have answered: what drains must not be sent anything after the grace, so that a
@@ -514,15 +561,15 @@
 }
 
 func (c *Core) hear(t *tally) {
-	switch k := t.key.(type) {
-	case serverKey:
+	f := t.take()
+	if t.proxy != nil {
+		c.module.Usage(t.proxy.number, t.group, f.count, f.failed, t.covers)
+	} else {
 		mean := 0.0
-		if good := t.count - t.failed; good > 0 {
-			mean = t.latency / float64(good)
+		if good := f.count - f.failed; good > 0 {
+			mean = f.latency / float64(good)
 		}
-		c.module.Heard(k.server, k.zone, t.count, t.failed, mean, t.covers)
-	case usageKey:
-		c.module.Usage(k.proxy.number, k.group, t.count, t.failed, t.covers)
+		c.module.Heard(t.server, t.zone, f.count, f.failed, mean, t.covers)
 	}
 	c.Counts.Shed = uint64(c.intake.dropped)
 }
@@ -543,7 +590,7 @@
 		c.end(p.stream, why)
 		return
 	}
-	p.unanswered = append(p.unanswered, sent{m.Number, c.now, must, receipts})
+	c.await(p, sent{m.Number, c.now, must, receipts})
 }
 
 func (c *Core) send(h Host, m *message, decided float64) {
@@ -597,7 +644,12 @@
 
 func (t toModule) Listed(form brain.ListForm, entries []brain.Entry) {
 	for _, e := range entries {
-		t.c.listed[e.Server] = e.State
+		l := t.c.listed[e.Server]
+		if l == nil {
+			l = &listing{}
+			t.c.listed[e.Server] = l
+		}
+		l.state, l.since = e.State, t.c.now
 		for _, p := range t.c.peers { // our list knows of it by now, or it has started anew
 			if p != nil && (e.State != brain.Ready || e.BornMs > t.c.now+originMs-settings.Ms(t.c.set.Servers.WarmUp)) {
 				delete(p.inherited, e.Server)
--- a/internal/planner/core_test.go
+++ b/internal/planner/core_test.go
@@ -281,29 +281,47 @@
 }
 
 func TestIntake(t *testing.T) {
-	a, b := serverKey{"a", 0}, serverKey{"b", 0}
 	t.Run("one line a server and period, oldest first, at the stated rate", func(t *testing.T) {
+		a, b := &tally{server: "a"}, &tally{server: "b"}
 		in := newIntake(1000, 1, 10, 0)
 		in.add(a, 5, 1, 10)
 		in.add(b, 1, 0, 10)
 		in.add(a, 5, 0, 20)
 		in.tick(1000)
 		l := in.next()
-		if l.key != any(a) || l.count != 10 || l.failed != 1 || l.latency != 140 || l.covers != 1000 || in.next() != nil {
+		if f := l.take(); l != a || f != (figures{10, 1, 140}) || l.covers != 1000 || in.next() != nil {
 			t.Errorf("%+v", l)
 		}
 		in.add(b, 2, 0, 10)
 		in.tick(2000)
-		if l = in.next(); l.key != any(b) || l.count != 3 || l.covers != 2000 {
+		if l = in.next(); l != b || l.take().count != 3 || l.covers != 2000 {
 			t.Errorf("%+v", l)
 		}
+		in.add(b, 2, 0, 10)
+		in.tick(3000)
+		if l = in.next(); l != b || l.take().count != 2 || l.covers != 1000 {
+			t.Errorf("what was taken counts again: %+v", l)
+		}
+	})
+	// A proxy that leaves while its lines wait: they must not reach the module, nor take the rate or the room of others.
+	t.Run("what waits of a proxy that left is passed over", func(t *testing.T) {
+		a, b := &tally{proxy: &peer{}}, &tally{server: "b"}
+		in := newIntake(1000, 1, 2, 0)
+		in.add(a, 1, 0, 1)
+		in.add(b, 1, 0, 1)
+		in.tick(1000)
+		in.forget([]*tally{a})
+		if l := in.next(); l != b || in.next() != nil || in.due() != 2000 && in.due() < 1e300 {
+			t.Errorf("%+v, due %g", l, in.due())
+		}
 	})
 	t.Run("when too many wait the oldest is shed and counted", func(t *testing.T) {
+		a, b := &tally{server: "a"}, &tally{server: "b"}
 		in := newIntake(1000, 1, 1, 0)
 		in.add(a, 1, 0, 1)
 		in.add(b, 1, 0, 1)
 		in.tick(1000)
-		if l := in.next(); l.key != any(b) || in.dropped != 1 {
+		if l := in.next(); l != b || in.dropped != 1 || a.waits || a.queued.count != 0 {
 			t.Errorf("%+v, %d", l, in.dropped)
 		}
 	})
--- a/internal/planner/intake.go
+++ b/internal/planner/intake.go
@@ -9,46 +9,47 @@
 	perS    float64
 	most    int // lines that wait
 
-	opened  float64 // start of the period that is being filled
-	filling map[any]*tally
-	news    []*tally // of filling, in order of coming
+	opened  float64  // start of the period that is being filled
+	news    []*tally // with something in this period, in order of coming
 	waiting []*tally // oldest first
-	queued  map[any]*tally
+	dead    int      // of these, those whose proxy left
 	tokens  float64
 	at      float64
 	dropped int // lines shed, in all
 }
 
-// tally is one line to be.
+// tally is a server's line for a zone, or a proxy's for a traffic group. Its owner keeps it, so that a sum costs no search and
+// nothing new.
 type tally struct {
-	key           any
-	count, failed int
-	latency       float64 // summed over the good ones, ms
-	covers        float64 // ms
+	server string // none: it is of a proxy
+	zone   int
+	proxy  *peer
+	group  int
+
+	fresh, queued figures // of this period; of those before, as it waits
+	covers        float64 // ms that the queued ones cover
+	isNew, waits  bool
+	gone          bool
 }
 
-type serverKey struct {
-	server string
-	zone   int
+type figures struct {
+	count, failed int
+	latency       float64 // summed over the good ones, ms
 }
 
-type usageKey struct {
-	proxy *peer
-	group int
+func (f *figures) add(g figures) {
+	f.count, f.failed, f.latency = f.count+g.count, f.failed+g.failed, f.latency+g.latency
 }
 
 func newIntake(everyMs, perS float64, most int, now float64) *intake {
-	return &intake{everyMs: everyMs, perS: perS, most: most, opened: now, at: now,
-		filling: map[any]*tally{}, queued: map[any]*tally{}}
+	return &intake{everyMs: everyMs, perS: perS, most: most, opened: now, at: now}
 }
 
-func (in *intake) add(key any, count, failed int, latency float64) {
-	t := in.filling[key]
-	if t == nil {
-		t = &tally{key: key}
-		in.filling[key], in.news = t, append(in.news, t)
+func (in *intake) add(t *tally, count, failed int, latency float64) {
+	if !t.isNew {
+		t.isNew, in.news = true, append(in.news, t)
 	}
-	t.count, t.failed, t.latency = t.count+count, t.failed+failed, t.latency+latency*float64(count-failed)
+	t.fresh.add(figures{count, failed, latency * float64(count-failed)})
 }
 
 // tick closes periods and counts what may pass.
@@ -60,40 +61,51 @@
 	}
 	covers := now - in.opened
 	in.opened = now
+	in.bury()
 	for _, t := range in.waiting { // what waits covers the new period too, also if nothing came
 		t.covers += covers
 	}
 	for _, t := range in.news {
-		if q := in.queued[t.key]; q != nil {
-			q.count, q.failed, q.latency = q.count+t.count, q.failed+t.failed, q.latency+t.latency
+		if t.isNew = false; t.gone {
 			continue
 		}
-		if len(in.waiting) >= in.most { // the newest is kept; the module hears the longer cover of what follows
-			delete(in.queued, in.waiting[0].key)
-			in.waiting, in.dropped = in.waiting[1:], in.dropped+1
+		if !t.waits {
+			if len(in.waiting) >= in.most { // the newest is kept; the module hears the longer cover of what follows
+				old := in.waiting[0]
+				old.queued, old.waits = figures{}, false
+				in.waiting, in.dropped = in.waiting[1:], in.dropped+1
+			}
+			t.waits, t.covers, in.waiting = true, covers, append(in.waiting, t)
 		}
-		t.covers = covers
-		in.queued[t.key], in.waiting = t, append(in.waiting, t)
+		t.queued.add(t.fresh)
+		t.fresh = figures{}
 	}
-	clear(in.filling)
 	in.news = in.news[:0]
 }
 
-// next gives the oldest line, if one may pass.
+// next gives the oldest line, if one may pass. What it says is to be taken before anything is added.
 func (in *intake) next() *tally {
+	for len(in.waiting) > 0 && in.waiting[0].gone {
+		in.waiting, in.dead = in.waiting[1:], in.dead-1
+	}
 	if len(in.waiting) == 0 || in.tokens < 1 {
 		return nil
 	}
 	t := in.waiting[0]
-	in.waiting, in.tokens = in.waiting[1:], in.tokens-1
-	delete(in.queued, t.key)
+	in.waiting, in.tokens, t.waits = in.waiting[1:], in.tokens-1, false
 	return t
 }
 
+// take empties what waited.
+func (t *tally) take() (f figures) {
+	f, t.queued = t.queued, figures{}
+	return f
+}
+
 // due is when the next line may pass, in ms.
 func (in *intake) due() float64 {
 	switch {
-	case len(in.waiting) > 0:
+	case len(in.waiting) > in.dead:
 		return in.at + math.Max(1-in.tokens, 0)/in.perS*1000
 	case len(in.news) > 0:
 		return in.opened + in.everyMs
@@ -101,25 +113,25 @@
 	return math.Inf(1)
 }
 
-// forget drops what waits of a proxy that left.
-func (in *intake) forget(p *peer, groups int) {
-	for g := range groups {
-		key := usageKey{p, g}
-		delete(in.filling, key)
-		if t := in.queued[key]; t != nil {
-			delete(in.queued, key)
+// forget ends tallies whose owner is gone; they are left out when their turn comes.
+func (in *intake) forget(tallies []*tally) {
+	for _, t := range tallies {
+		if t.gone = true; t.waits {
+			in.dead++
 		}
 	}
-	in.news = without(in.news, p)
-	in.waiting = without(in.waiting, p)
 }
 
-func without(list []*tally, p *peer) []*tally {
-	kept := list[:0]
-	for _, t := range list {
-		if k, ok := t.key.(usageKey); !ok || k.proxy != p {
+// bury takes out those that are gone, once they are many.
+func (in *intake) bury() {
+	if in.dead == 0 {
+		return
+	}
+	kept := in.waiting[:0]
+	for _, t := range in.waiting {
+		if !t.gone {
 			kept = append(kept, t)
 		}
 	}
-	return kept
+	in.waiting, in.dead = kept, 0
 }
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -24,7 +24,7 @@
 
 // Leased takes in a proxy's word on who commands it. One that grants us anew tells what it holds.
 func (c *Core) Leased(s *Stream, m *order.Lease) {
-	c.keep("lease "+s.Name(), m)
+	c.keep("lease", s, m)
 	p := s.peer
 	if p == nil || s.ended || c.share == nil {
 		return
@@ -63,7 +63,8 @@
 
 // gone says whether a proxy should take a server for one that drains or is gone: by our list, or by its last commander's.
 func (c *Core) gone(p *peer, server string) bool {
-	return c.listed[server] != brain.Ready || p.inherited[server] > 0
+	l := c.listed[server]
+	return l != nil && l.state != brain.Ready || p.inherited[server] > 0
 }
 
 // outlived ends at most one inherited drain that our list never came to show.
@@ -117,7 +118,7 @@
 	p.commanded, p.epoch, p.out, p.inherited = true, epoch, map[string]bool{}, map[string]float64{}
 	p.link = orders.NewLink(p.before)
 	for _, server := range p.going {
-		if state, known := c.listed[server]; known && state == brain.Ready {
+		if l := c.listed[server]; l != nil && l.state == brain.Ready {
 			p.inherited[server] = c.now + sharing.DrainMemoryMs
 		}
 	}
