Reports wait one a stream, merged by their readers, and a planner that falls behind says so

Readers handed each report to the core's queue and waited while it was full. A core at its limit stopped them, proxies' writes would time out, and all would dial anew together. Now each stream leaves one report, to which its reader adds later ones on whatever core it runs; the core takes them after all else. If one waits over a second the planner is behind: tidy lines and needless receipts rest, joins are admitted at a tenth of their pace, drains go on; status and metrics say so.

Stories: a core that stands still for two seconds under 12,000 reports loses no try and no stream; 2,000 joins amid a drain; the same orders with 1, 2 and 4 cores.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -184,6 +184,7 @@
 	covers, clear   []float64 // of the last sums; latencies at hand
 	marked, number  int       // solve that a receipt was last asked for; its number
 	following, slow bool      // the list; the last receipt was late
+	behind          bool      // what is heard is late
 }
 
 func New(set Settings, seed int64) *Planner {
@@ -331,6 +332,9 @@
 	}
 }
 
+// Behind tells that the planner hears late, or no longer: tidy lines and needless receipts rest meanwhile.
+func (p *Planner) Behind(on bool) { p.behind = on }
+
 // Next makes at most one decision and says whether it did. The orders of a look share a message a proxy.
 func (p *Planner) Next(h Host) bool {
 	if p.now-p.lookedAt >= wakeMs || p.stirred {
@@ -885,7 +889,10 @@
 			return true
 		})
 	}
-	p.todo = append(append(p.todo, lines[tidy]...), p.receipt)
+	if !p.behind {
+		p.todo = append(p.todo, lines[tidy]...)
+	}
+	p.todo = append(p.todo, p.receipt)
 }
 
 // queue works out the lines that wait, with heads, as the channel drains them; no more than have not arrived.
@@ -1029,7 +1036,7 @@
 
 // receipt asks how long the messages of this tick take: once a solve, and more often while much may wait.
 func (p *Planner) receipt(h Host) bool {
-	if p.marked == p.solves && p.unsure() < p.set.MostWaiting*queueShare[urgent]/2 {
+	if (p.marked == p.solves || p.behind) && p.unsure() < p.set.MostWaiting*queueShare[urgent]/2 {
 		return false
 	}
 	to := only(p.proxies, func(q *proxy) bool { return q.reached(p.now) })
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -122,6 +123,24 @@
 			t.Errorf("%d lines sent in a calm", n)
 		}
 	})
+	// A planner that hears late would send lines by old news, and the answers to needless receipts make it later still. What
+	// drains must go all the same.
+	t.Run("behind, tidy lines rest and withdrawals go", func(t *testing.T) {
+		for _, behind := range []bool{false, true} {
+			f := fleet(settings(), 6)
+			f.run(15, fine)
+			f.p.Behind(behind)
+			f.orders = nil
+			f.run(10, but("s0", 5, 0, 400))
+			lines := slices.ContainsFunc(f.orders, func(o string) bool { return o[0] == 'l' })
+			receipts := slices.ContainsFunc(f.orders, func(o string) bool { return o[0] == 'r' })
+			f.p.Listed(Change, []Entry{{Server: "s2", Zone: 0, Size: 1, State: Draining}})
+			f.run(1, fine)
+			if lines == behind || receipts == behind || !f.out["s2"] {
+				t.Errorf("behind %v: lines %v, receipts %v, drained %v", behind, lines, receipts, f.out["s2"])
+			}
+		}
+	})
 	t.Run("a slow server's share falls, and only one copy changes at a time", func(t *testing.T) {
 		f := fleet(settings(), 6)
 		f.run(15, fine)
--- a/cmd/lichenpick/swarm.go
+++ b/cmd/lichenpick/swarm.go
@@ -29,7 +29,7 @@
 func swarmCommand() *cobra.Command {
 	s := &standin.Swarm{}
 	var file, length string
-	var spawned int
+	var spawned, cores int
 	var killAt, backAfter float64
 	c := &cobra.Command{Use: "swarm -c PLANNER-FILE", Short: "Load planners with many stand-in proxies that only speak the order stream", Args: exactly(0),
 		Long: "Reads a planner's settings for its address, zones, groups and list file, writes that list, and joins. Flows are made up by the\n" +
@@ -60,6 +60,7 @@
 				if pack, err = newPack(set, s.Proxies, spawned, dir); err != nil {
 					return err
 				}
+				pack.cores = cores
 				s.Planners, s.List = pack.addresses, pack.list
 				if err := s.Prepare(); err != nil {
 					return err
@@ -104,6 +105,7 @@
 	c.Flags().Int64Var(&s.Seed, "seed", 1, "seed of chance")
 	c.Flags().StringVar(&length, "length", "20s", "how long")
 	c.Flags().IntVar(&spawned, "spawn", 0, "planners to start; 0: one runs already")
+	c.Flags().IntVar(&cores, "planner-cores", 0, "cores that each of these may use; 0: what their file says")
 	c.Flags().Float64Var(&killAt, "kill-at-ms", 0, "ms after which the second planner is killed; 0: never")
 	c.Flags().Float64Var(&backAfter, "back-after-ms", 5000, "ms after which it is started again")
 	return c
@@ -120,6 +122,7 @@
 	rss       []int64 // bytes
 	last      []planner.Status
 	proxies   int
+	cores     int
 	backAt    float64 // when the killed one was started again
 	level     float64 // ms from then until it had nine tenths of its share
 }
@@ -184,6 +187,9 @@
 
 func (p *pack) run(n int) error {
 	p.running[n] = spawn(p.files[n])
+	if p.cores > 0 {
+		p.running[n].Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", p.cores))
+	}
 	return p.running[n].Start()
 }
 
@@ -246,10 +252,10 @@
 func (p *pack) report(out io.Writer) error {
 	p.stop()
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "planner\tCPU s\tmost memory MB\tcommands\ttakeovers\thanded over\tran out\twrites to the store\tmessages\tlines waiting at most\tsums shed")
+	fmt.Fprintln(t, "planner\tCPU s\tmost memory MB\tcommands\ttakeovers\thanded over\tran out\twrites to the store\tmessages\tlines waiting at most\tsums heard\tshed\treports merged\tlag ms")
 	for n, s := range p.last {
-		fmt.Fprintf(t, "%s\t%.2f\t%.0f\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\n", s.Planner, p.used[n].Seconds(), float64(p.rss[n])/1e6, s.Commanded,
-			s.Takeovers, s.Handed, s.Expired, s.Marks, s.Messages, s.LinesMost, s.Shed)
+		fmt.Fprintf(t, "%s\t%.2f\t%.0f\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\t%d\t%d\t%.1f\n", s.Planner, p.used[n].Seconds(), float64(p.rss[n])/1e6, s.Commanded,
+			s.Takeovers, s.Handed, s.Expired, s.Marks, s.Messages, s.LinesMost, s.Sums, s.Shed, s.Merged, s.LagMs)
 	}
 	if p.level > 0 {
 		fmt.Fprintf(t, "the one killed had nine tenths of its share %.1f s after it was started again\n", p.level/1000)
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -30,6 +30,9 @@
 	originMs    = 1e9    // ms of the module's clock at the start; births some days before it stay above 0, as 0 is long past
 	idlestMs    = 250.0  // ms between looks at the latest; answers and silences are noticed this late at most
 	goneMs      = 9e5    // ms that a gone server's name is known, longer than the module remembers it
+	behindMs    = 1000.0 // ms that a report may wait; beyond it decisions go by old news, and the planner says that it is behind
+	caughtMs    = 100.0  // ms that it waits once that is over
+	behindJoins = 0.1    // part of the pace of joins while behind; each costs a whole table
 	deadMs      = 2500.0 // ms without a frame after which another process may take a proxy's name
 )
 
@@ -156,6 +159,8 @@
 	inputs      [lastInputs]input
 	nextInput   int
 	listChanged bool
+	lag         float64 // ms that reports waited last
+	behind      bool
 	answerDue   float64         // no answer is late before
 	share       *sharing.Sharer // nil: nothing is shared
 	shareWake   float64
@@ -182,6 +187,7 @@
 	Heard(server string, zone, count, failed int, latency, covers float64)
 	Usage(id, group, count, failed int, covers float64)
 	Applied(id, number int, took float64)
+	Behind(on bool)
 	Next(h brain.Host) bool
 }
 
@@ -444,6 +450,14 @@
 	}
 }
 
+// Lagged takes in how long reports waited for the core, in ms.
+func (c *Core) Lagged(ms float64) {
+	if c.lag = ms; ms > behindMs && !c.behind || ms < caughtMs && c.behind {
+		c.behind = !c.behind
+		c.module.Behind(c.behind)
+	}
+}
+
 // Answered takes in that a proxy has applied a message and all before.
 func (c *Core) Answered(s *Stream, m *order.Applied) {
 	c.keep("applied", s, m)
--- a/internal/planner/core_test.go
+++ b/internal/planner/core_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"fmt"
+	"maps"
 	"net/netip"
+	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -362,3 +366,124 @@
 		}
 	})
 }
+
+func TestRipe(t *testing.T) {
+	sums := func(server string, tries, dropped uint32, ms float64) *order.Sums {
+		return &order.Sums{CoversMs: 100, Servers: []*order.ServerSum{{Server: server, Tries: tries, Dropped: dropped, LatencyMs: ms}},
+			Groups: []*order.GroupSum{{Group: 1, Came: tries, Dropped: dropped}}}
+	}
+	t.Run("later reports of a stream are added to the one that waits", func(t *testing.T) {
+		r, a, b := &ripe{signal: make(chan struct{}, 1)}, &stream{}, &stream{}
+		r.add(a, sums("s", 4, 1, 10), 5)
+		r.add(b, sums("s", 1, 0, 10), 6)
+		r.add(a, sums("s", 2, 1, 50), 7)
+		r.add(a, sums("z", 1, 1, 0), 8)
+		s, m, since := r.take()
+		if x := m.Servers[0]; s != a || since != 5 || x.Tries != 6 || x.Dropped != 2 || x.LatencyMs != 20 || len(m.Servers) != 2 ||
+			m.CoversMs != 300 || m.Groups[0].Came != 7 || m.Groups[0].Dropped != 3 {
+			t.Errorf("%v since %g", m, since)
+		}
+		if s, _, _ := r.take(); s != b {
+			t.Error("the other stream's is gone")
+		}
+		if s, _, _ := r.take(); s != nil {
+			t.Error("one too many")
+		}
+	})
+	t.Run("a report that waits is bounded, and what finds no place is counted", func(t *testing.T) {
+		r, a := &ripe{signal: make(chan struct{}, 1)}, &stream{}
+		for n := range mostMerged + 10 {
+			r.add(a, sums(fmt.Sprint(n), 1, 0, 1), 0)
+		}
+		_, m, _ := r.take()
+		if _, lost, _ := r.counts(); len(m.Servers) != mostMerged || lost != 10 || m.Groups[0].Came != mostMerged+10 {
+			t.Errorf("%d servers, %d lost", len(m.Servers), lost)
+		}
+	})
+}
+
+// Two thousand proxies join at once while a server drains: first tables are long, withdrawals short and due. Guards against a
+// drain that waits behind a storm; the storm waits instead, and nobody's stream is ended for it.
+func TestDrainInAStorm(t *testing.T) {
+	w := begin(t, `proxies: 2100 channel { lines: "20000/s" most_waiting: 30000 } servers { drain_grace: "5s" }`, 20)
+	var old []*Stream
+	for n := range 100 {
+		old = append(old, w.join(fmt.Sprint("old", n), 1, 1))
+	}
+	w.run(0, 8000)
+	w.Listed(list.Update{Form: brain.Change, AsOfMs: 1e12, Entries: []list.Entry{{Server: "s2", Zone: "a", Size: 1, State: brain.Draining}}})
+	var fresh []*Stream
+	for n := range 2000 {
+		fresh = append(fresh, w.join(fmt.Sprint("new", n), 1, 1))
+	}
+	drained := func(o *order.Order) bool {
+		return o.GetWithdraw().GetServer() == "s2" || o.GetLine().GetLine().GetServer() == "s2" && o.GetLine().Line.Weight == 0
+	}
+	w.run(8050, 10500) // half of the grace
+	for _, s := range old {
+		held := w.told(s, func(o *order.Order) bool {
+			return slices.ContainsFunc(o.GetBind().GetLines(), func(l *order.Line) bool { return l.Server == "s2" }) || o.GetLine().GetLine().GetServer() == "s2"
+		}) >= 0
+		if held && w.told(s, drained) < 0 {
+			t.Fatalf("%s was not told of the drain within half the grace", s.Name())
+		}
+	}
+	w.run(10550, 40000)
+	for _, s := range fresh {
+		if w.told(s, bound) < 0 {
+			t.Fatalf("%s has no table", s.Name())
+		}
+	}
+	if len(w.ended) > 0 {
+		t.Errorf("%d streams ended", len(w.ended))
+	}
+}
+
+// The same inputs give the same orders on any number of cores: what decides is one goroutine's, whatever runs beside it.
+func TestSameOrdersOnAnyCores(t *testing.T) {
+	day := func(cores int) string {
+		defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(cores))
+		w := begin(t, `proxies: 40`, 24)
+		h := sha256.New()
+		for second := range 30 {
+			for n := range 40 {
+				if second == n/4 {
+					w.join(fmt.Sprint("x", n), 1, 1)
+				}
+			}
+			switch second {
+			case 8:
+				w.Listed(list.Update{Form: brain.Change, AsOfMs: 1e12, Entries: []list.Entry{{Server: "s2", Zone: "a", Size: 1, State: brain.Draining}}})
+			case 15:
+				w.Lost(w.names["x7"].stream, &orders.Ending{Reason: orders.Lost})
+			}
+			for n := range 40 {
+				if p := w.names[fmt.Sprint("x", n)]; p != nil {
+					m := &order.Sums{CoversMs: 1000, Groups: []*order.GroupSum{{Group: 0, Came: 10}}}
+					for k := range 6 {
+						m.Servers = append(m.Servers, &order.ServerSum{Server: fmt.Sprint("s", (n+5*k)%24), Tries: 2, LatencyMs: float64(20 + (n*k+second)%40)})
+					}
+					w.Summed(p.stream, m)
+				}
+			}
+			w.run(float64(second)*1000, float64(second)*1000+950)
+		}
+		names := slices.Sorted(maps.Keys(w.names))
+		for _, name := range names {
+			for _, m := range w.sent[w.names[name].stream] {
+				b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+				if err != nil {
+					t.Fatal(err)
+				}
+				h.Write(b)
+			}
+		}
+		return fmt.Sprintf("%d %x", len(names), h.Sum(nil))
+	}
+	first := day(1)
+	for _, cores := range []int{1, 2, 4} {
+		if got := day(cores); got != first {
+			t.Errorf("%d cores: %s, before %s", cores, got, first)
+		}
+	}
+}
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -38,6 +38,7 @@
 const (
 	inboxSize  = 1024 // inputs that wait for the core; then streams are read no further, and the peers' sends wait
 	batchMost  = 512  // inputs taken in before the core decides; so many take a few ms
+	sumsMost   = 256  // and reports; what else came goes first
 	outboxSize = 256  // frames that wait for one stream's socket, under a span's messages by far
 	readBytes  = 16 << 10
 	byeMs      = 200.0 // ms that a last word may take
@@ -67,6 +68,7 @@
 	lim     orders.Limits
 	store   *store.Store // nil: nothing is shared
 	marks   chan uint64  // to be written down
+	ripe    ripe
 	wakeAt  float64
 	kept    float64 // when the list was last written down
 	status  atomic.Pointer[Status]
@@ -83,7 +85,10 @@
 	LinesMost                    float64 // since the start
 	Joins, Messages, Lines, Sums uint64
 	Unheard, Shed                uint64
-	Commanded                    int // proxies, where several controllers share a fleet
+	Behind                       bool    // reports wait too long: tidy work rests
+	LagMs                        float64 // that the last report waited
+	Merged, Lost                 uint64  // reports added to one that waited; servers left out of them
+	Commanded                    int     // proxies, where several controllers share a fleet
 	Takeovers, Handed, Expired   int
 	Marks                        uint64 // writes to the store
 	Claimless                    bool   // not open to claims: drained, or its store cannot be written
@@ -100,7 +105,7 @@
 	}
 	defer l.Close()
 	set := o.Settings
-	p := &Planner{Options: o, inbox: make(chan func(), inboxSize), allow: &bart.Table[struct{}]{},
+	p := &Planner{Options: o, inbox: make(chan func(), inboxSize), ripe: ripe{signal: make(chan struct{}, 1)}, allow: &bart.Table[struct{}]{},
 		lim: orders.Limits{FrameBytes: int(set.Streams.GetFrameBytes()), JoinWithin: settings.Ms(set.Streams.JoinWithin),
 			SilentAfter: settings.Ms(set.Streams.SilentAfter)}}
 	for _, a := range set.Allow {
@@ -187,6 +192,7 @@
 			p.farewell()
 			return nil
 		case first = <-p.inbox:
+		case <-p.ripe.signal:
 		case <-fired:
 		}
 		stop()
@@ -203,6 +209,7 @@
 				break batch
 			}
 		}
+		p.hear()
 		for p.core.Next(p) {
 		}
 		p.publish(false)
@@ -210,6 +217,25 @@
 	}
 }
 
+// hear lets the core take some reports, after all else that came; the rest has its turn when it has decided.
+func (p *Planner) hear() {
+	lag := 0.0
+	for range sumsMost {
+		s, m, since := p.ripe.take()
+		if s == nil {
+			p.core.Lagged(lag)
+			return
+		}
+		lag = max(lag, p.Clock.Mono()-since)
+		p.core.Summed(s.core, m)
+	}
+	p.core.Lagged(lag)
+	select {
+	case p.ripe.signal <- struct{}{}:
+	default:
+	}
+}
+
 func (p *Planner) dump(r any) {
 	stack := debug.Stack()
 	p.Log.Error("the planner's core failed", "cause", r, "stack", string(stack))
@@ -312,6 +338,7 @@
 	once   sync.Once
 	done   chan struct{}
 	why    *orders.Ending
+	report report // that the core has not taken yet; guarded by the queue's lock
 }
 
 // finish ends a stream for a reason; the first one counts.
@@ -326,6 +353,7 @@
 	defer context.AfterFunc(ctx, func() { l.Close() })()
 	per := settings.PerS(p.Settings.Streams.Accepts)
 	pace := rate.NewLimiter(rate.Limit(per), max(int(per/10), 1))
+	joins := rate.NewLimiter(rate.Limit(per*behindJoins), 1)
 	var streams sync.WaitGroup
 	defer streams.Wait()
 	for {
@@ -352,6 +380,9 @@
 			conn.Close()
 			continue
 		}
+		for p.status.Load().Behind && ctx.Err() == nil && !joins.Allow() { // drains and what is joined pass first
+			clock.Sleep(ctx, p.Clock, 20)
+		}
 		if pace.Wait(ctx) != nil {
 			conn.Close()
 			return nil
@@ -417,7 +448,7 @@
 	r.ok = r.p.tell(r.ctx, func() { r.p.core.Joined(r.s.core, m) })
 }
 func (r *reader) Summed(m *order.Sums) {
-	r.ok = r.p.tell(r.ctx, func() { r.p.core.Summed(r.s.core, m) })
+	r.p.ripe.add(r.s, m, r.p.Clock.Mono())
 }
 func (r *reader) Leased(m *order.Lease) {
 	r.ok = r.p.tell(r.ctx, func() { r.p.core.Leased(r.s.core, m) })
@@ -537,6 +568,8 @@
 		s.Marks = c.Counts.Marks
 		s.Takeovers, s.Handed, s.Expired, s.Claimless = c.share.Takeovers, c.share.Handed, c.share.Expired, !c.share.Open()
 	}
+	s.Behind, s.LagMs = c.behind, c.lag
+	s.Merged, s.Lost, _ = p.ripe.counts()
 	s.Ready, s.Draining, s.Gone = c.memory.Servers()
 	if s.LinesMost = s.LinesPeak; last != nil {
 		s.LinesMost = max(s.LinesPeak, last.LinesMost)
@@ -567,6 +600,8 @@
 	gauge("messages_sent", "Messages of orders sent since the start.", func(s *Status) float64 { return float64(s.Messages) })
 	gauge("lines_sent", "Lines of orders sent since the start.", func(s *Status) float64 { return float64(s.Lines) })
 	gauge("sums_shed", "Lines of sums dropped as too many waited.", func(s *Status) float64 { return float64(s.Shed) })
+	gauge("reports_merged", "Reports added to one of their stream's that waited.", func(s *Status) float64 { return float64(s.Merged) })
+	gauge("lag_ms", "Time that the last report waited, ms.", func(s *Status) float64 { return s.LagMs })
 	gauge("dials_refused", "Dials refused by address or number.", func(s *Status) float64 { return float64(s.RefusedDials) })
 	gauge("order_ms_p50", "Time from a decision to its answer, median, ms.", func(s *Status) float64 { return s.OrderMsP50 })
 	gauge("order_ms_p99", "The same, 99th percentile, ms.", func(s *Status) float64 { return s.OrderMsP99 })
--- a/internal/planner/run_test.go
+++ b/internal/planner/run_test.go
@@ -397,3 +397,65 @@
 	}
 	return b
 }
+
+// stalling is a module that stands still while it is told to, and counts what it hears.
+type stalling struct {
+	Decider
+	gate  sync.Mutex // held while it stands still
+	heard atomic.Int64
+	said  chan bool
+}
+
+func (m *stalling) Tick(now float64) {
+	m.gate.Lock()
+	m.gate.Unlock()
+	m.Decider.Tick(now)
+}
+
+func (m *stalling) Heard(server string, zone, count, failed int, latency, covers float64) {
+	m.heard.Add(int64(count))
+	m.Decider.Heard(server, zone, count, failed, latency, covers)
+}
+
+func (m *stalling) Behind(on bool) {
+	m.said <- on
+	m.Decider.Behind(on)
+}
+
+// A core that stands still for two seconds under reports without end. Guards against readers that wait for it, as proxies would
+// end their streams and dial anew together, and against a queue that grows: each stream may leave one report, and no try is lost.
+func TestStalledCore(t *testing.T) {
+	t.Parallel()
+	const proxies, reports = 8, 1500
+	set := planned(t, `reports { every: "100ms" intake: "100000/s" } streams { silent_after: "20s" }`)
+	m := &stalling{Decider: NewModule(set), said: make(chan bool, 100)}
+	r := launch(t, set, m, 6)
+	var all []*party
+	for n := range proxies {
+		p := r.dial(fmt.Sprint("x", n), 1, 1)
+		until(t, "a table", func() bool { return p.has(bound) })
+		all = append(all, p)
+	}
+	m.gate.Lock()
+	var sending sync.WaitGroup
+	for _, p := range all {
+		sending.Add(1)
+		go func() {
+			defer sending.Done()
+			for range reports {
+				p.put(orders.Sums, &order.Sums{CoversMs: 1, Servers: []*order.ServerSum{{Server: "s1", Tries: 2, LatencyMs: 30}}})
+			}
+		}()
+	}
+	sending.Wait() // it ends although nobody takes anything
+	time.Sleep(2 * time.Second)
+	m.gate.Unlock()
+	until(t, "every try", func() bool { return m.heard.Load() == 2*proxies*reports })
+	if on, off := <-m.said, <-m.said; !on || off {
+		t.Errorf("behind %v, then %v", on, off)
+	}
+	r.stop()
+	if r.last.Merged < proxies*reports/2 || r.last.Lost != 0 || len(r.last.Endings) != 0 {
+		t.Errorf("%+v", r.last)
+	}
+}
--- a/internal/rehearsal/baseline.go
+++ b/internal/rehearsal/baseline.go
@@ -49,6 +49,7 @@
 func (e *even) Heard(string, int, int, int, float64, float64) {}
 func (e *even) Usage(int, int, int, int, float64)             {}
 func (e *even) Applied(int, int, float64)                     {}
+func (e *even) Behind(bool)                                   {}
 
 func (e *even) Next(h brain.Host) bool {
 	for _, name := range e.order {
