--- a/cmd/lichenpick/run.go
+++ b/cmd/lichenpick/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"runtime"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -63,6 +64,9 @@
 func plannerCommand() *cobra.Command {
 	return daemon("planner", "Run a planner until SIGTERM; proxies then keep what they hold", func() *pb.Planner { return &pb.Planner{} },
 		func(ctx context.Context, set *pb.Planner, log *slog.Logger) error {
+			if n := int(set.GetCores()); n > 0 {
+				runtime.GOMAXPROCS(n)
+			}
 			c := clock.NewReal()
 			return planner.Run(ctx, planner.Options{Settings: set, Clock: c, Network: machine, Log: log, Source: source(set.List, c)})
 		})
--- a/cmd/lichenpick/swarm.go
+++ b/cmd/lichenpick/swarm.go
@@ -57,10 +57,12 @@
 					return err
 				}
 				defer os.RemoveAll(dir)
+				if cores > 0 {
+					set.Cores = proto.Uint32(uint32(cores))
+				}
 				if pack, err = newPack(set, s.Proxies, spawned, dir); err != nil {
 					return err
 				}
-				pack.cores = cores
 				s.Planners, s.List = pack.addresses, pack.list
 				if err := s.Prepare(); err != nil {
 					return err
@@ -86,10 +88,10 @@
 				return err
 			}
 			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
-			fmt.Fprintln(t, "proxies x servers\tdials\tbound\tall bound ms\tmessages\torders\tapplied ms p50\tp99\tmax\tmost messages in 10 s\tbytes up, down a proxy and s\ttakeovers\tbare ms p50\tp99\tmax")
+			fmt.Fprintln(t, "proxies x servers\tdials\tbound\tall bound ms\tmessages\torders\tapplied ms p50\tp99\tp99.9\tmax\tmost messages in 10 s\tbytes up, down a proxy and s\ttakeovers\tbare ms p50\tp99\tmax")
 			each := float64(s.Proxies) * ms / 1000
-			fmt.Fprintf(t, "%dx%d\t%d\t%d\t%.0f\t%d\t%d\t%.1f\t%.1f\t%.1f\t%d\t%.0f, %.0f\t%d\t%.1f\t%.1f\t%.1f\n", s.Proxies, s.Servers, r.Dials, r.Bound, r.AllBoundMs,
-				r.Messages, r.Orders, r.P50Ms, r.P99Ms, r.MaxMs, r.MostMessages, float64(r.Up)/each, float64(r.Down)/each, r.Takeovers, r.BareP50, r.BareP99, r.BareMax)
+			fmt.Fprintf(t, "%dx%d\t%d\t%d\t%.0f\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t%.0f, %.0f\t%d\t%.1f\t%.1f\t%.1f\n", s.Proxies, s.Servers, r.Dials, r.Bound, r.AllBoundMs,
+				r.Messages, r.Orders, r.P50Ms, r.P99Ms, r.P999Ms, r.MaxMs, r.MostMessages, float64(r.Up)/each, float64(r.Down)/each, r.Takeovers, r.BareP50, r.BareP99, r.BareMax)
 			t.Flush()
 			if pack != nil {
 				return pack.report(c.OutOrStdout())
@@ -122,7 +124,6 @@
 	rss       []int64 // bytes
 	last      []planner.Status
 	proxies   int
-	cores     int
 	backAt    float64 // when the killed one was started again
 	level     float64 // ms from then until it had nine tenths of its share
 }
@@ -187,9 +188,6 @@
 
 func (p *pack) run(n int) error {
 	p.running[n] = spawn(p.files[n])
-	if p.cores > 0 {
-		p.running[n].Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", p.cores))
-	}
 	return p.running[n].Start()
 }
 
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -5,6 +5,7 @@
 	"math/rand"
 	"net/netip"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -173,3 +174,70 @@
 		})
 	}
 }
+
+// BenchmarkPlannerReports is how fast reports are taken in, from bytes of a stream to sums that the module hears: decoding and
+// merging on as many cores as there are, and one that owns the rest. Ten servers a report.
+func BenchmarkPlannerReports(b *testing.B) {
+	l := load(b, 500, 200)
+	r := &ripe{signal: make(chan struct{}, 1)}
+	done, ended := make(chan struct{}), make(chan struct{})
+	begun := time.Now()
+	go func() {
+		defer close(ended)
+		last := l.now
+		for {
+			select {
+			case <-done:
+				return
+			case <-r.signal:
+			}
+			l.now = last + float64(time.Since(begun))/1e6
+			l.Tick(l.now, time.UnixMilli(int64(1e12+l.now)))
+			for s, m, _ := r.take(); s != nil; s, m, _ = r.take() {
+				l.Summed(s.core, m)
+			}
+			for _, a := range l.answers {
+				l.Answered(a.to, a.m)
+			}
+			l.answers = nil
+			for l.Next(l) {
+			}
+		}
+	}()
+	var next atomic.Int64
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		n := int(next.Add(1))
+		s := &stream{core: l.streams[n]}
+		body := &order.Sums{CoversMs: 1000, Groups: []*order.GroupSum{{Group: 0, Came: 4}}}
+		for k := range 10 {
+			body.Servers = append(body.Servers, &order.ServerSum{Server: l.reports[n+k].Servers[0].Server, Tries: 1, LatencyMs: 30})
+		}
+		proxyEnd := orders.NewProxyEnd(orders.Limits{FrameBytes: 1 << 20, JoinWithin: 1e12, SilentAfter: 1e12}, 0)
+		end := orders.NewPlannerEnd(orders.Limits{FrameBytes: 1 << 20, JoinWithin: 1e12, SilentAfter: 1e12}, 0)
+		frame, _ := proxyEnd.Append(nil, orders.Join, &order.Join{Proxy: "x", Groups: 2})
+		end.Feed(0, frame)
+		into := taker{add: func(m *order.Sums) { r.add(s, m, 0) }}
+		end.Next(into)
+		for pb.Next() {
+			frame, _ = proxyEnd.Append(frame[:0], orders.Sums, body)
+			end.Feed(0, frame)
+			if !end.Next(into) {
+				b.Error(end.Ended())
+				return
+			}
+		}
+	})
+	b.StopTimer()
+	close(done)
+	<-ended
+	b.ReportMetric(float64(r.merged)/float64(b.N), "merged/op")
+}
+
+type taker struct{ add func(*order.Sums) }
+
+func (t taker) Joined(*order.Join)      {}
+func (t taker) Answered(*order.Applied) {}
+func (t taker) Leased(*order.Lease)     {}
+func (t taker) Summed(m *order.Sums)    { t.add(m) }
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -36,12 +36,12 @@
 )
 
 const (
-	inboxSize  = 1024 // inputs that wait for the core; then streams are read no further, and the peers' sends wait
-	batchMost  = 512  // inputs taken in before the core decides; so many take a few ms
-	sumsMost   = 256  // and reports; what else came goes first
-	outboxSize = 256  // frames that wait for one stream's socket, under a span's messages by far
-	readBytes  = 16 << 10
-	byeMs      = 200.0 // ms that a last word may take
+	inboxSize  = 1024    // inputs that wait for the core; then streams are read no further, and the peers' sends wait
+	batchMost  = 512     // inputs taken in before the core decides; so many take a few ms
+	sumsMost   = 256     // and reports; what else came goes first
+	outboxSize = 256     // frames that wait for one stream's socket, under a span's messages by far
+	readBytes  = 4 << 10 // most frames are far smaller, and each stream has such a piece
+	byeMs      = 200.0   // ms that a last word may take
 )
 
 // Options are what a planner runs on.
--- a/internal/rehearsal/control.go
+++ b/internal/rehearsal/control.go
@@ -80,6 +80,7 @@
 	for n, p := range s.Places {
 		set.Zones = append(set.Zones, &pb.Zone{Name: p.Name, Prefixes: []string{fmt.Sprintf("127.%d.0.0/16", n+1)}})
 	}
+	set.Cores = s.PlannerCores
 	if f.shared() {
 		set.Sharing = &pb.Sharing{Store: filepath.Join(f.dir, c.name+".store")}
 	}
--- a/internal/standin/swarm.go
+++ b/internal/standin/swarm.go
@@ -54,7 +54,8 @@
 	Dials, Bound, Takeovers int
 	Messages, Orders        int
 	AllBoundMs              float64 // from the first dial until every proxy was bound
-	P50Ms, P99Ms, MaxMs     float64
+	P50Ms, P99Ms            float64
+	P999Ms, MaxMs           float64
 	MostMessages            int     // to one proxy within 10 s
 	Up, Down                int     // bytes to planners and from them
 	BareP50, BareP99        float64 // ms that a proxy was without a commander, where it went to another
@@ -111,7 +112,7 @@
 	defer s.mu.Unlock()
 	at := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
 	r := &s.result
-	r.P50Ms, r.P99Ms, r.MaxMs = at(s.applied, 50), at(s.applied, 99), at(s.applied, 100)
+	r.P50Ms, r.P99Ms, r.P999Ms, r.MaxMs = at(s.applied, 50), at(s.applied, 99), at(s.applied, 99.9), at(s.applied, 100)
 	r.BareP50, r.BareP99, r.BareMax = at(s.bare, 50), at(s.bare, 99), at(s.bare, 100)
 	r.Dials, r.Up, r.Down = int(s.dials.Load()), int(s.up.Load()), int(s.down.Load())
 	return s.result, err
