--- /dev/null
+++ b/cmd/lichenpick/emulate.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"lichenpick/internal/emulator"
+	"lichenpick/internal/settings"
+	"lichenpick/proto/script"
+)
+
+func emulateCommand() *cobra.Command {
+	var seeds int
+	c := &cobra.Command{Use: "emulate SCRIPT", Short: "Play a rehearsal's day in made-up time, with models for servers, clients and links", Args: exactly(1),
+		Long: "Planner core, module and proxies are the program's own; the rest is modelled. One seed gives one run. Troubles that only\n" +
+			"sockets can have are refused.",
+		RunE: func(c *cobra.Command, args []string) error {
+			s := &script.Script{}
+			if err := settings.Load(args[0], s); err != nil {
+				return err
+			}
+			if seeds < 1 || seeds > 10000 {
+				return usage{fmt.Errorf("--seeds from 1 to 10000, not %d", seeds)}
+			}
+			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			var names []string
+			for _, g := range s.Groups {
+				names = append(names, g.Name)
+			}
+			fmt.Fprintln(t, "seed\tservice\t"+strings.Join(names, "\t")+"\tlate\tblocked\tdropped\tmessages\tlines\tfell over\tevents\temulated s/s")
+			first := s.GetSeed()
+			for n := range uint64(seeds) {
+				seed := first + n
+				s.Seed = &seed
+				r, err := emulator.Play(s)
+				if err != nil {
+					return err
+				}
+				var shares []string
+				late, blocked, dropped := 0, 0, 0
+				for _, g := range r.Groups {
+					shares = append(shares, fmt.Sprintf("%.3f", g.Utility/max(g.Possible, 1e-9)))
+					late, blocked, dropped = late+g.Late, blocked+g.Blocked+g.Bare, dropped+g.Dropped
+				}
+				all := settings.Ms(s.Warm) + settings.Ms(s.Length)
+				fmt.Fprintf(t, "%d\t%.3f\t%s\t%d\t%d\t%d\t%d\t%.0f\t%d\t%d\t%.0f\n", seed, r.Service, strings.Join(shares, "\t"), late, blocked, dropped,
+					r.Messages, r.Lines, r.Fell, r.Events, all/r.WallMs)
+			}
+			return t.Flush()
+		}}
+	c.Flags().IntVar(&seeds, "seeds", 1, "days to play, with seeds from the script's on")
+	return c
+}
