The emulator lists servers by cores alone, as the stand-ins do; one count of flows for both

Listed sizes held the servers' speed, which on sockets shows in latencies only. What became of a flow is counted by one method for the crowd on sockets and the emulator's clients.

--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -170,7 +170,7 @@
 func (f *fleet) tellList(ms float64, form brain.ListForm, servers []*server) {
 	u := list.Update{Form: form, AsOfMs: uint64(epoch + f.now)}
 	for _, s := range servers {
-		e := list.Entry{Server: s.name, Zone: f.script.Places[s.zone].Name, Size: float64(s.set.GetCores()) * s.set.GetSpeed()}
+		e := list.Entry{Server: s.name, Zone: f.script.Places[s.zone].Name, Size: float64(s.set.GetCores())} // speed shows in floors only
 		switch {
 		case s.down:
 			e.State = brain.Gone
@@ -325,21 +325,6 @@
 		f.after(wait, func() { f.ask(f.edges[f.chance.Intn(len(f.edges))], c) })
 		return
 	}
-	for _, t := range []*standin.Tally{&f.result.Groups[c.group], &f.result.Seconds[c.second]} {
-		t.Asked++
-		t.Possible += g.GetUtility()
-		switch {
-		case outcome == "ok" && took <= settings.Ms(g.LatencyBudget):
-			t.Delivered++
-			t.Utility += g.GetUtility()
-		case outcome == "ok":
-			t.Late++
-		case outcome == "blocked":
-			t.Blocked++
-		case outcome == "bare":
-			t.Bare++
-		default:
-			t.Dropped++
-		}
-	}
+	f.result.Groups[c.group].Count(g, outcome, took)
+	f.result.Seconds[c.second].Count(g, outcome, took)
 }
--- a/internal/standin/crowd.go
+++ b/internal/standin/crowd.go
@@ -126,22 +126,26 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.asks += asks
-	for _, t := range []*Tally{&c.tallies[group], &c.seconds[second]} {
-		t.Asked++
-		t.Possible += g.GetUtility()
-		switch {
-		case outcome == "ok" && took <= settings.Ms(g.LatencyBudget):
-			t.Delivered++
-			t.Utility += g.GetUtility()
-		case outcome == "ok":
-			t.Late++
-		case outcome == "blocked":
-			t.Blocked++
-		case outcome == "bare":
-			t.Bare++
-		default:
-			t.Dropped++
-		}
+	c.tallies[group].Count(g, outcome, took)
+	c.seconds[second].Count(g, outcome, took)
+}
+
+// Count adds a flow of a group by its outcome, after some ms.
+func (t *Tally) Count(g *pb.Group, outcome string, took float64) {
+	t.Asked++
+	t.Possible += g.GetUtility()
+	switch {
+	case outcome == "ok" && took <= settings.Ms(g.LatencyBudget):
+		t.Delivered++
+		t.Utility += g.GetUtility()
+	case outcome == "ok":
+		t.Late++
+	case outcome == "blocked":
+		t.Blocked++
+	case outcome == "bare":
+		t.Bare++
+	default:
+		t.Dropped++
 	}
 }
 
