After a second reading: dead parts out, time through the clock, unmeasured claims mended

Two dead fields, a count that nobody read, and a sort without need are gone; two comments said what no longer holds. The emulator took the machine's time for its own speed, and a rehearsal for a planner that hangs: both go by the clock now, as do three tests.

--- a/cmd/lichenpick/emulate.go
+++ b/cmd/lichenpick/emulate.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"lichenpick/internal/clock"
 	"lichenpick/internal/emulator"
 	"lichenpick/internal/settings"
 	"lichenpick/proto/script"
@@ -31,10 +32,11 @@
 				names = append(names, g.Name)
 			}
 			fmt.Fprintln(t, "seed\tservice\t"+strings.Join(names, "\t")+"\tlate\tblocked\tdropped\tmessages\tlines\tfell over\tevents\temulated s/s")
-			first := s.GetSeed()
+			first, c0 := s.GetSeed(), clock.NewReal()
 			for n := range uint64(seeds) {
 				seed := first + n
 				s.Seed = &seed
+				begun := c0.Mono()
 				r, err := emulator.Play(s)
 				if err != nil {
 					return err
@@ -47,7 +49,7 @@
 				}
 				all := settings.Ms(s.Warm) + settings.Ms(s.Length)
 				fmt.Fprintf(t, "%d\t%.3f\t%s\t%d\t%d\t%d\t%d\t%.0f\t%d\t%d\t%.0f\n", seed, r.Service, strings.Join(shares, "\t"), late, blocked, dropped,
-					r.Messages, r.Lines, r.Fell, r.Events, all/r.WallMs)
+					r.Messages, r.Lines, r.Fell, r.Events, all/(c0.Mono()-begun))
 			}
 			return t.Flush()
 		}}
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -32,7 +32,6 @@
 	t.Run("one seed gives one run, another gives another", func(t *testing.T) {
 		const busy = `troubles { at: "2s" lasts: "4s" deploy { servers: 2 drain: "3s" } } troubles { at: "4s" lasts: "4s" hang { servers: 1 } } `
 		a, b, c := play(t, busy+"seed: 4"), play(t, busy+"seed: 4"), play(t, busy+"seed: 5")
-		a.WallMs, b.WallMs, c.WallMs = 0, 0, 0
 		if !reflect.DeepEqual(a, b) || reflect.DeepEqual(a, c) {
 			t.Errorf("%+v\n%+v\n%+v", a, b, c)
 		}
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	wayMs   = 0.3  // ms of a flow's way, each way; loopback with HTTP takes about this
+	wayMs   = 0.3  // ms of a flow's way, each way; assumed for loopback
 	orderMs = 2.0  // ms of a frame's way on an order stream
 	epoch   = 1e12 // unix ms at which a day begins
 )
@@ -36,7 +36,6 @@
 	Lines    float64
 	Fell     int
 	Events   int
-	WallMs   float64
 }
 
 type fleet struct {
@@ -45,7 +44,6 @@
 	chance  *rand.Rand
 	core    *planner.Core
 	wakeAt  float64
-	pumping bool
 	servers []*server
 	byName  map[string]*server
 	edges   []*edge
@@ -65,7 +63,6 @@
 // Play plays a script's day with one planner. A trouble that is not emulated is an error.
 func Play(s *script.Script) (*Result, error) {
 	f := &fleet{script: s, chance: rand.New(rand.NewSource(int64(s.GetSeed()))), byName: map[string]*server{}, factor: 1, wakeAt: math.Inf(1)}
-	begun := time.Now()
 	if err := f.begin(); err != nil {
 		return nil, err
 	}
@@ -77,7 +74,11 @@
 	}
 	f.result.Groups, f.result.Seconds = make([]standin.Tally, len(s.Groups)), make([]standin.Tally, int(length/1000)+1)
 	f.after(warm, func() { f.client(warm, warm+length) })
-	f.run(warm + length + 5000)
+	last := 0.0 // flows in hand still end
+	for _, g := range s.Groups {
+		last = max(last, settings.Ms(g.Expiry))
+	}
+	f.run(warm + length + last + 1000)
 	if f.failed != nil {
 		return nil, f.failed
 	}
@@ -90,7 +91,7 @@
 	for _, x := range f.servers {
 		r.Fell += x.fell
 	}
-	r.Events, r.WallMs = f.count, float64(time.Since(begun))/1e6
+	r.Events = f.count
 	return r, nil
 }
 
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -33,9 +33,8 @@
 
 // try is one on its way to a server and back.
 type try struct {
-	work  float64
-	began float64
-	done  func(o outcome)
+	work float64
+	done func(o outcome)
 }
 
 type outcome int
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -20,10 +20,10 @@
 func TestLoad(t *testing.T) {
 	// A closed loop would send one flow into the stall and measure one long time. All that were due in it must show.
 	t.Run("a stall shows in all flows that were due in it", func(t *testing.T) {
-		begun := time.Now()
+		c := clock.NewReal()
 		s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-			if at := time.Since(begun); at > 500*time.Millisecond && at < time.Second {
-				time.Sleep(time.Second - at)
+			if at := c.Mono(); at > 500 && at < 1000 {
+				clock.Sleep(t.Context(), c, 1000-at)
 			}
 		}))
 		defer s.Close()
--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"lichenpick/brain"
+	"lichenpick/internal/clock"
 	"lichenpick/internal/list"
 	"lichenpick/internal/orders"
 	"lichenpick/internal/settings"
@@ -181,7 +182,7 @@
 	l := load(b, 500, 200)
 	r := &ripe{signal: make(chan struct{}, 1)}
 	done, ended := make(chan struct{}), make(chan struct{})
-	begun := time.Now()
+	begun := clock.NewReal()
 	go func() {
 		defer close(ended)
 		last := l.now
@@ -191,7 +192,7 @@
 				return
 			case <-r.signal:
 			}
-			l.now = last + float64(time.Since(begun))/1e6
+			l.now = last + begun.Mono()
 			l.Tick(l.now, time.UnixMilli(int64(1e12+l.now)))
 			for s, m, _ := r.take(); s != nil; s, m, _ = r.take() {
 				l.Summed(s.core, m)
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -496,7 +496,7 @@
 		if c.share.Next(sharer{c, h}) || c.outlived() {
 			return true
 		}
-		c.shared = true // it looks at every proxy, and hears nothing new before the next Tick
+		c.shared = true // it hears nothing new before the next Tick
 	}
 	if c.memory.Next(toModule{c}) {
 		return true
--- a/internal/planner/core_test.go
+++ b/internal/planner/core_test.go
@@ -396,7 +396,7 @@
 			r.add(a, sums(fmt.Sprint(n), 1, 0, 1), 0)
 		}
 		_, m, _ := r.take()
-		if _, lost, _ := r.counts(); len(m.Servers) != mostMerged || lost != 10 || m.Groups[0].Came != mostMerged+10 {
+		if _, lost := r.counts(); len(m.Servers) != mostMerged || lost != 10 || m.Groups[0].Came != mostMerged+10 {
 			t.Errorf("%d servers, %d lost", len(m.Servers), lost)
 		}
 	})
--- a/internal/planner/ripe.go
+++ b/internal/planner/ripe.go
@@ -57,11 +57,11 @@
 	return s, m, since
 }
 
-// counts are reports merged and servers left out since the start, and the reports that wait.
-func (r *ripe) counts() (merged, lost uint64, waiting int) {
+// counts are reports merged and servers left out since the start.
+func (r *ripe) counts() (merged, lost uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.merged, r.lost, len(r.queue)
+	return r.merged, r.lost
 }
 
 // merge adds a later report. It says how many servers found no place.
--- a/internal/planner/run.go
+++ b/internal/planner/run.go
@@ -569,7 +569,7 @@
 		s.Takeovers, s.Handed, s.Expired, s.Claimless = c.share.Takeovers, c.share.Handed, c.share.Expired, !c.share.Open()
 	}
 	s.Behind, s.LagMs = c.behind, c.lag
-	s.Merged, s.Lost, _ = p.ripe.counts()
+	s.Merged, s.Lost = p.ripe.counts()
 	s.Ready, s.Draining, s.Gone = c.memory.Servers()
 	if s.LinesMost = s.LinesPeak; last != nil {
 		s.LinesMost = max(s.LinesPeak, last.LinesMost)
--- a/internal/planner/run_test.go
+++ b/internal/planner/run_test.go
@@ -448,7 +448,7 @@
 		}()
 	}
 	sending.Wait() // it ends although nobody takes anything
-	time.Sleep(2 * time.Second)
+	clock.Sleep(t.Context(), r.clock, 2000)
 	m.gate.Unlock()
 	until(t, "every try", func() bool { return m.heard.Load() == 2*proxies*reports })
 	if on, off := <-m.said, <-m.said; !on || off {
--- a/internal/rehearsal/control.go
+++ b/internal/rehearsal/control.go
@@ -145,8 +145,8 @@
 	c.f.mu.Unlock()
 }
 
-// endWithin is how long a planner's process may take to end; one that takes longer hangs, and the day has failed.
-const endWithin = 5 * time.Second
+// endWithinMs is how long a planner's process may take to end; one that takes longer hangs, and the day has failed.
+const endWithinMs = 5000.0
 
 // free gives an address that nobody listens at now.
 func free() (string, error) {
@@ -290,9 +290,11 @@
 		c.stop()
 	}
 	if c.cmd != nil {
+		late, stop := f.clock.After(endWithinMs)
+		defer stop()
 		select {
 		case <-c.ended:
-		case <-time.After(endWithin):
+		case <-late:
 			f.log.Error("a planner does not end; killing it", "planner", c.name)
 			f.mu.Lock()
 			f.hung++
--- a/internal/sharing/sharer.go
+++ b/internal/sharing/sharer.go
@@ -1,7 +1,6 @@
 package sharing
 
 import (
-	"cmp"
 	"container/heap"
 	"math"
 	"slices"
@@ -270,7 +269,7 @@
 	return ours, len(s.queue)
 }
 
-// Next carries out at most one decision, and says whether it did. What is no longer ours goes first.
+// Next carries out at most one decision, and says whether it did; what has been due longest goes first.
 func (s *Sharer) Next(h Host) bool {
 	if !s.told {
 		s.told = true
@@ -427,7 +426,7 @@
 }
 
 func (s *Sharer) planAll() {
-	for _, x := range slices.SortedFunc(slices.Values(s.queue), func(a, b *holding) int { return cmp.Compare(a.name, b.name) }) {
+	for _, x := range slices.Clone(s.queue) { // it moves meanwhile
 		s.plan(x)
 	}
 }
