--- /dev/null
+++ b/internal/platform/config.go
@@ -0,0 +1,113 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+
+	"lichenpick/brain"
+	"lichenpick/internal/settings"
+	"lichenpick/internal/wire"
+)
+
+const mostConfig = 16 << 20 // bytes of a configuration
+
+// Config is what the platform tells a planner.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    int64
+	Cores                   float64
+	MemoryMB, Sockets       int
+	Version                 int64         // of Known
+	Known                   []brain.Entry // perhaps old
+	Site                    wire.Site
+}
+
+// ReadConfig loads and checks a configuration. It is refused whole, with an error of the program's kind for bad input.
+func ReadConfig(path string) (Config, error) {
+	bad := func(form string, args ...any) (Config, error) {
+		return Config{}, &settings.Error{File: path, What: fmt.Sprintf(form, args...)}
+	}
+	if path == "" {
+		return bad("no configuration is named; EDGE_CONFIG or -c must name it")
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return bad("%v", err)
+	}
+	if info.Size() > mostConfig {
+		return bad("%d bytes, where %d are the most", info.Size(), mostConfig)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return bad("%v", err)
+	}
+	var f struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			Cores    float64
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int
+		}
+		Known    json.RawMessage
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return bad("%v", err)
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return bad("seed: %q is no number of 16 hex digits", f.Seed)
+	}
+	for name, address := range map[string]string{"listen": f.Listen, "discovery": f.Discovery} {
+		if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
+			return bad("%s: %q is no address with a port", name, address)
+		}
+	}
+	if len(f.Settings) == 0 {
+		return bad("settings are missing")
+	}
+	site, err := wire.ReadSettings(f.Settings)
+	if err != nil {
+		return bad("settings: %v", err)
+	}
+	if err := check(site); err != nil {
+		return bad("settings: %v", err)
+	}
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: int64(seed), Cores: f.Limits.Cores,
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Site: site}
+	if len(f.Known) > 0 && string(f.Known) != "null" {
+		l, err := readListing(f.Known, site.Zones)
+		if err != nil {
+			return bad("known: %v", err)
+		}
+		c.Version, c.Known = l.version, l.entries
+	}
+	return c, nil
+}
+
+// check looks for what the module or the lines could not work with.
+func check(s wire.Site) error {
+	m := s.Module
+	switch {
+	case len(s.Zones) == 0 || len(s.Groups) == 0:
+		return fmt.Errorf("%d zones and %d traffic groups; there must be some", len(s.Zones), len(s.Groups))
+	case m.Proxies < 1 || m.Proxies > 1<<16:
+		return fmt.Errorf("%d proxies, where 1 to %d can be", m.Proxies, 1<<16)
+	case !(m.ChannelRate > 0) || !(m.MostWaiting > 0):
+		return fmt.Errorf("a channel of %g lines a second with %g waiting; both must be above 0", m.ChannelRate, m.MostWaiting)
+	case m.Sliced:
+		return fmt.Errorf("tables are slices, which this front does not serve")
+	}
+	for _, list := range [][]string{s.Zones, s.Groups} {
+		for n, name := range list {
+			if !fits(name) || slices.Contains(list[:n], name) {
+				return fmt.Errorf("name %q cannot stand in a line, or comes twice", name)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/core.go
@@ -0,0 +1,669 @@
+// Package platform is the planner's door to the operators' platform: lines on streams of proxies and collectors, a list
+// that an agent serves over HTTP. Core holds the module and what the proxies were told, and does no I/O; Run connects it
+// to sockets, signals and the clock. It decides nothing on tables, health, levels or pace: that is the module's.
+package platform
+
+import (
+	"math"
+	"slices"
+
+	"lichenpick/brain"
+	"lichenpick/internal/tables"
+	"lichenpick/internal/wire"
+)
+
+const (
+	joinMs     = 1500.0 // ms in which a connection must have joined; 1 s is due to it, 3 s is the most
+	quietMs    = 6000.0 // ms that a mark may go unanswered on a stream that says nothing else; then it is taken for dead
+	forgetMs   = 9e5    // ms that a gone server is known, longer than the module remembers it
+	eachZone   = 3      // collectors of a zone; an old one that was cut off may seem open beside its successor
+	mostPongs  = 16     // answers owed to one connection; who asks faster than it reads gets no more
+	mostMarks  = 64     // unanswered marks of a proxy that are known
+	mostCount  = 1e7    // tries in a report; more is a spoilt figure
+	mostSpanMs = 6e5    // ms that a report may cover, or a time in it
+)
+
+// Conn is one connection at the planner's address, as the core knows it.
+type Conn struct {
+	Out any // the shell's own
+
+	lines     splitter
+	opened    float64
+	heard     float64 // last readable line
+	proxy     *proxy  // joined as this one
+	collector int     // 1 + its zone
+	pongs     int     // owed
+	due       bool    // in the core's list of those owed something
+	refuse    bool    // is to be told so and closed
+	ended     bool
+}
+
+// Unjoined says whether nothing has made the connection more than a stranger's.
+func (c *Conn) Unjoined() bool { return c.proxy == nil && c.collector == 0 }
+
+// proxy is a joined one.
+type proxy struct {
+	id, zone int
+	usual    float64
+	conn     *Conn
+	held     []*tables.Table[*proxy] // by group; nil where this stream bound none
+	wait     *pending                // decided in this look
+	sent     []float64               // times of the last messages
+	marks    []mark                  // asked for and not answered, oldest first
+	asleep   bool                    // silent for so long that the module takes it for left
+}
+
+type mark struct {
+	number int
+	at     float64
+}
+
+// pending is what a look has decided for a proxy. What tables and levels hold is read when the message is written.
+type pending struct {
+	bound        []*tables.Table[*proxy] // to be written whole
+	changed      []change
+	levels       []bool // by group
+	drop, undrop []string
+	mark         int
+	marked       bool
+}
+
+type change struct {
+	table  *tables.Table[*proxy]
+	server string
+}
+
+// server is one that the list has named.
+type server struct {
+	name  string
+	state brain.State
+	since float64
+	// By proxy id: told to shut it out by us; perhaps told so by another planner, or by us before we started.
+	told, maybe []uint64
+}
+
+func bit(set []uint64, id int) bool { return set[id/64]>>(id%64)&1 == 1 }
+
+func setBit(set []uint64, id int, on bool) {
+	if set[id/64] &^= 1 << (id % 64); on {
+		set[id/64] |= 1 << (id % 64)
+	}
+}
+
+// Counts are what happened since the start.
+type Counts struct {
+	Joins, Lost, Asleep, Refused, Unreadable, Spoilt, Heard, Usage, Marks, Messages, Bytes, Lists uint64
+}
+
+// Host carries out what the core decides. Each method is one decision.
+type Host interface {
+	Send(c *Conn, message []byte) // whole messages; the bytes are the core's again afterwards
+	End(c *Conn, why string)
+	Wake(at float64)
+}
+
+// Core is one planner. Its methods are called by one at a time: Tick, then inputs, then Next until it says false.
+// Times are Unix ms by a clock that never jumps.
+type Core struct {
+	site    wire.Site
+	module  *brain.Planner
+	now     float64
+	book    *tables.Book[*proxy]
+	zones   map[string]int
+	groups  map[string]int
+	servers map[string]*server
+	proxies []*proxy // by id; nil where not joined
+	order   []*proxy // joined, in order of joining
+	conns   map[*Conn]bool
+	fresh   []*Conn   // unjoined, oldest first
+	sources [][]*Conn // collectors by zone
+	owed    []*Conn
+	pending []*proxy
+	wakeAt  float64
+	told    float64
+	buf     []byte
+
+	Counts  Counts
+	Trouble string // why the last message or connection was refused; for the log
+}
+
+// NewCore starts a planner at a time.
+func NewCore(site wire.Site, seed int64, now float64) *Core {
+	c := &Core{site: site, module: brain.New(site.Module, seed), book: tables.NewBook[*proxy](len(site.Groups)),
+		zones: map[string]int{}, groups: map[string]int{}, servers: map[string]*server{}, conns: map[*Conn]bool{},
+		proxies: make([]*proxy, site.Module.Proxies), sources: make([][]*Conn, len(site.Zones)), told: math.Inf(1)}
+	for n, z := range site.Zones {
+		c.zones[z] = n
+	}
+	for n, g := range site.Groups {
+		c.groups[g] = n
+	}
+	c.Tick(now)
+	return c
+}
+
+// Tick tells the time. What is decided until the next one leaves in one message a proxy.
+func (c *Core) Tick(now float64) {
+	c.now = math.Max(now, c.now)
+	c.module.Tick(c.now)
+}
+
+// Listed takes in a word of discovery, or with Restored what the configuration had of it.
+func (c *Core) Listed(form brain.ListForm, list []brain.Entry) {
+	if form != brain.Failed {
+		c.Counts.Lists++
+	}
+	named := map[string]bool{}
+	for _, e := range list {
+		s := c.servers[e.Server]
+		if s == nil {
+			words := (len(c.proxies) + 63) / 64
+			s = &server{name: e.Server, since: c.now, told: make([]uint64, words), maybe: make([]uint64, words)}
+			c.servers[e.Server] = s
+		}
+		if e.State != s.state {
+			s.state, s.since = e.State, c.now
+		}
+		named[e.Server] = true
+	}
+	for name, s := range c.servers {
+		if form != brain.Change && form != brain.Failed && !named[name] && s.state != brain.Gone {
+			s.state, s.since = brain.Gone, c.now
+		}
+		if s.state == brain.Gone && c.now-s.since > forgetMs && !c.book.Out[name] {
+			delete(c.servers, name)
+		}
+	}
+	c.module.Listed(form, list)
+}
+
+// Opened takes in a connection.
+func (c *Core) Opened(k *Conn) {
+	k.opened, k.heard = c.now, c.now
+	c.conns[k], c.fresh = true, append(c.fresh, k)
+}
+
+// Open is the number of connections that are not ended.
+func (c *Core) Open() int { return len(c.conns) }
+
+// Lost takes in that a connection has ended, by whomever.
+func (c *Core) Lost(k *Conn) {
+	if k.ended {
+		return
+	}
+	k.ended = true
+	delete(c.conns, k)
+	k.lines.part = nil
+	c.fresh = without(c.fresh, k)
+	c.owed = without(c.owed, k)
+	if k.collector > 0 {
+		c.sources[k.collector-1] = without(c.sources[k.collector-1], k)
+	}
+	if p := k.proxy; p != nil && p.conn == k {
+		c.Counts.Lost++
+		c.leave(p)
+	}
+}
+
+func without[T comparable](list []T, x T) []T {
+	return slices.DeleteFunc(list, func(y T) bool { return y == x })
+}
+
+// leave ends a proxy's part in all that is kept.
+func (c *Core) leave(p *proxy) {
+	c.rest(p)
+	c.proxies[p.id], c.order = nil, without(c.order, p)
+}
+
+// rest takes a proxy off the module and its tables.
+func (c *Core) rest(p *proxy) {
+	c.book.Leave(p, p.held)
+	c.pending = without(c.pending, p)
+	p.wait, p.marks = nil, nil
+	c.module.Left(p.id)
+}
+
+// Fed takes in bytes of a connection.
+func (c *Core) Fed(k *Conn, data []byte) {
+	if k.ended || k.refuse {
+		return
+	}
+	most := mostLine
+	if k.Unjoined() {
+		most = firstLine
+	}
+	err := k.lines.feed(data, most, func(line []byte) bool {
+		c.line(k, line)
+		return !k.ended && !k.refuse
+	})
+	if err != nil && !k.refuse {
+		c.Counts.Unreadable++
+		c.turnAway(k, err.Error())
+	}
+}
+
+// turnAway marks a connection to be told refused and closed.
+func (c *Core) turnAway(k *Conn, why string) {
+	if c.Trouble = why; k.Unjoined() {
+		c.Counts.Refused++
+	}
+	k.refuse = true
+	c.owe(k)
+}
+
+func (c *Core) owe(k *Conn) {
+	if !k.due {
+		k.due, c.owed = true, append(c.owed, k)
+	}
+}
+
+// line takes in one message. A spoilt one costs itself alone on a connection that has joined, and any other its place.
+func (c *Core) line(k *Conn, text []byte) {
+	w := take(text)
+	switch {
+	case w.kind == sayPing && w.err == nil:
+		if k.pongs < mostPongs {
+			k.pongs++
+			c.owe(k)
+		}
+	case k.Unjoined() && w.kind == sayJoined:
+		c.join(k, w)
+	case k.Unjoined() && w.kind == sayCollector:
+		c.collect(k, w)
+	case k.Unjoined():
+		w.fault("%s before joining", w.kind)
+	case w.kind == sayHeard && k.collector > 0:
+		c.hear(w)
+	case w.kind == sayUsage:
+		c.use(k, w)
+	case w.kind == sayApplied && k.proxy != nil:
+		c.applied(k.proxy, w)
+	}
+	if w.err != nil && k.Unjoined() {
+		c.turnAway(k, w.err.Error())
+		return
+	}
+	if w.err != nil {
+		c.Counts.Spoilt++
+		c.Trouble = w.err.Error()
+	}
+	k.heard = c.now
+	if p := k.proxy; p != nil && p.conn == k && p.asleep {
+		c.wake(p)
+	}
+}
+
+func (c *Core) join(k *Conn, w *words) {
+	id, zone := w.whole("id", len(c.proxies)-1), c.zone(w)
+	usual, first := w.number("rps", mostCount), w.whole("new", 1) == 1
+	if w.err != nil {
+		return
+	}
+	p := &proxy{id: id, zone: zone, usual: usual, conn: k, held: make([]*tables.Table[*proxy], len(c.site.Groups))}
+	if old := c.proxies[id]; old != nil { // its stream has broken, even if nobody has told us
+		c.leave(old)
+		old.conn.refuse = true
+		c.owe(old.conn)
+	}
+	for _, s := range c.servers {
+		setBit(s.told, id, false)
+		setBit(s.maybe, id, !first)
+	}
+	c.Counts.Joins++
+	c.fresh = without(c.fresh, k)
+	k.proxy, c.proxies[id], c.order = p, p, append(c.order, p)
+	c.module.Joined(id, zone, usual)
+}
+
+// wake takes a proxy back that was silent.
+func (c *Core) wake(p *proxy) {
+	p.asleep = false
+	for _, s := range c.servers { // who knows what reached it
+		setBit(s.maybe, p.id, true)
+	}
+	c.module.Joined(p.id, p.zone, p.usual, p.sent...)
+}
+
+func (c *Core) zone(w *words) int {
+	z, ok := c.zones[w.word("site")]
+	if !ok {
+		w.fault("field site names no zone")
+	}
+	return z
+}
+
+func (c *Core) collect(k *Conn, w *words) {
+	z := c.zone(w)
+	if w.err != nil {
+		return
+	}
+	c.fresh = without(c.fresh, k)
+	k.collector = z + 1
+	if all := c.sources[z]; len(all) == eachZone { // the one longest silent was cut off
+		old := slices.MinFunc(all, func(a, b *Conn) int { return int(math.Copysign(1, a.heard-b.heard)) })
+		old.refuse = true
+		c.owe(old)
+		c.sources[z] = without(all, old)
+	}
+	c.sources[z] = append(c.sources[z], k)
+}
+
+func (c *Core) hear(w *words) {
+	zone, target := c.zone(w), w.word("target")
+	count := w.whole("count", mostCount)
+	failed := w.whole("fail", count)
+	mean, over := w.number("mean", mostSpanMs), w.number("over", mostSpanMs)
+	if w.pairs("util"); w.err != nil {
+		return
+	}
+	if c.servers[target] == nil {
+		w.fault("field target names no server")
+		return
+	}
+	c.Counts.Heard++
+	c.module.Heard(target, zone, count, failed, mean, over)
+}
+
+func (c *Core) use(k *Conn, w *words) {
+	id := w.whole("id", len(c.proxies)-1)
+	group, ok := c.groups[w.word("lane")]
+	count := w.whole("count", mostCount)
+	failed, over := w.whole("fail", count), w.number("over", mostSpanMs)
+	if !ok {
+		w.fault("field lane names no traffic group")
+	}
+	if k.proxy != nil && k.proxy.id != id {
+		w.fault("a report of another proxy")
+	}
+	if w.err != nil {
+		return
+	}
+	c.Counts.Usage++
+	c.module.Usage(id, group, count, failed, over)
+}
+
+func (c *Core) applied(p *proxy, w *words) {
+	id, number, took := w.whole("id", len(c.proxies)-1), w.whole("seq", math.MaxInt32), w.number("ms", mostSpanMs)
+	n := slices.IndexFunc(p.marks, func(m mark) bool { return m.number == number })
+	if id != p.id {
+		w.fault("an answer of another proxy")
+	} else if n < 0 {
+		w.fault("an answer to a mark that was not sent")
+	}
+	if w.err != nil {
+		return
+	}
+	p.marks = slices.Delete(p.marks, 0, n+1) // all before it were applied
+	c.Counts.Marks++
+	c.module.Applied(id, number, took)
+}
+
+// Next carries out at most one decision, and says whether it did.
+func (c *Core) Next(h Host) bool {
+	switch {
+	case len(c.owed) > 0:
+		k := c.owed[0]
+		c.owed = c.owed[1:]
+		c.settle(h, k)
+	case len(c.fresh) > 0 && c.now >= c.fresh[0].opened+joinMs:
+		c.turnAway(c.fresh[0], "not joined in time")
+		c.fresh = c.fresh[1:]
+	case c.module.Next(orderer{c}):
+	case len(c.pending) > 0:
+		p := c.pending[0]
+		c.pending = c.pending[1:]
+		c.send(h, p)
+	case c.silent():
+	default:
+		return c.sleep(h)
+	}
+	return true
+}
+
+// Shed ends the connection that is worth least, so that a new one finds its place: the oldest stranger, else the proxy
+// that has been silent longest. It says whether there was one.
+func (c *Core) Shed(h Host) bool {
+	var k *Conn
+	if len(c.fresh) > 0 {
+		k = c.fresh[0]
+	}
+	for _, p := range c.order {
+		if k == nil && p.asleep {
+			k = p.conn
+		}
+	}
+	if k == nil {
+		return false
+	}
+	c.Lost(k)
+	h.End(k, "room is needed")
+	return true
+}
+
+// settle gives a connection what it is owed.
+func (c *Core) settle(h Host, k *Conn) {
+	k.due = false
+	if k.pongs > 0 && !k.ended {
+		c.buf = c.buf[:0]
+		for range k.pongs {
+			c.buf = append(c.buf, sayPong+"\r\n"...)
+		}
+		k.pongs = 0
+		h.Send(k, c.buf)
+	}
+	if k.refuse && !k.ended {
+		if k.Unjoined() {
+			h.Send(k, []byte(sayRefused+"\r\n"))
+		}
+		c.Lost(k)
+		h.End(k, c.Trouble)
+	}
+}
+
+// silent finds a proxy that answers no mark and says nothing else: it is taken for left until it speaks again.
+func (c *Core) silent() bool {
+	for _, p := range c.order {
+		if !p.asleep && len(p.marks) > 0 && c.now-math.Max(p.marks[0].at, p.conn.heard) > quietMs {
+			c.rest(p)
+			p.asleep = true
+			c.Counts.Asleep++
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) sleep(h Host) bool {
+	due := c.wakeAt
+	if len(c.fresh) > 0 {
+		due = math.Min(due, c.fresh[0].opened+joinMs)
+	}
+	if due = math.Max(due, c.now); due == c.told {
+		return false
+	}
+	c.told = due
+	h.Wake(due)
+	return true
+}
+
+// send writes what was decided for a proxy in this look as one message.
+func (c *Core) send(h Host, p *proxy) {
+	parts := c.parts(p)
+	w := p.wait
+	if p.wait = nil; len(parts) == 0 && !w.marked {
+		return
+	}
+	if w.marked {
+		if len(parts) == 0 {
+			parts = append(parts, update{})
+		}
+		last := &parts[len(parts)-1]
+		last.stamp, last.stamped = w.mark, true
+		if p.marks = append(p.marks, mark{w.mark, c.now}); len(p.marks) > mostMarks {
+			p.marks = slices.Delete(p.marks, 0, 1)
+		}
+	}
+	if span := c.now - c.site.Module.MessageSpanMs; len(p.sent) > 0 && p.sent[0] < span {
+		p.sent = slices.DeleteFunc(p.sent, func(at float64) bool { return at < span })
+	}
+	p.sent = append(p.sent, c.now)
+	c.buf = appendUpdates(c.buf[:0], parts)
+	c.Counts.Messages, c.Counts.Bytes = c.Counts.Messages+1, c.Counts.Bytes+uint64(len(c.buf))
+	h.Send(p.conn, c.buf)
+}
+
+// parts puts together what a proxy is told: its tables, then levels, with servers to shut out or let back first.
+func (c *Core) parts(p *proxy) (parts []update) {
+	w := p.wait
+	for g, t := range p.held {
+		if t == nil || slices.Contains(p.held[:g], t) {
+			continue
+		}
+		u := update{groups: c.names(func(g int) bool { return p.held[g] == t }), replace: slices.Contains(w.bound, t)}
+		if u.replace {
+			u.rows = t.Lines
+		} else {
+			for n, x := range w.changed {
+				if x.table == t && !slices.Contains(w.changed[:n], x) {
+					u.rows = append(u.rows, tables.Line{Server: x.server, Weight: t.Weight(x.server)})
+				}
+			}
+		}
+		if len(u.rows) > 0 || u.replace {
+			parts = append(parts, u)
+		}
+	}
+	if len(w.drop)+len(w.undrop) > 0 {
+		if len(parts) == 0 {
+			parts = append(parts, update{})
+		}
+		parts[0].drop, parts[0].undrop = w.drop, w.undrop
+	}
+	for g, l := range c.book.Levels {
+		like := func(n int) bool { return w.levels[n] && c.book.Levels[n] == l }
+		if like(g) && !slices.ContainsFunc(c.all()[:g], like) {
+			parts = append(parts, update{groups: c.names(like), level: l})
+		}
+	}
+	return parts
+}
+
+func (c *Core) all() []int {
+	all := make([]int, len(c.site.Groups))
+	for g := range all {
+		all[g] = g
+	}
+	return all
+}
+
+// names gives the names of the groups that fit, none where all do.
+func (c *Core) names(fits func(group int) bool) (names []string) {
+	for g, name := range c.site.Groups {
+		if fits(g) {
+			names = append(names, name)
+		}
+	}
+	if len(names) == len(c.site.Groups) {
+		return nil
+	}
+	return names
+}
+
+// wait gives the message that is being put together for a proxy.
+func (c *Core) wait(p *proxy) *pending {
+	if p.wait == nil {
+		p.wait = &pending{levels: make([]bool, len(c.book.Levels))}
+		c.pending = append(c.pending, p)
+	}
+	return p.wait
+}
+
+// shut tells a proxy to shut a server out, or to let it back.
+func (c *Core) shut(p *proxy, s *server, out bool) {
+	w := c.wait(p)
+	w.drop, w.undrop = without(w.drop, s.name), without(w.undrop, s.name)
+	if out {
+		w.drop = append(w.drop, s.name)
+	} else {
+		w.undrop = append(w.undrop, s.name)
+	}
+	setBit(s.told, p.id, out)
+	setBit(s.maybe, p.id, false)
+}
+
+// align tells a proxy whose table has got a server whether that is shut out, where it may hold something else.
+func (c *Core) align(p *proxy, name string) {
+	s := c.servers[name]
+	if out := c.book.Out[name]; s != nil && (out != bit(s.told, p.id) || bit(s.maybe, p.id)) {
+		c.shut(p, s, out)
+	}
+}
+
+// orderer carries out the module's decisions: who holds what, and what is to be told to whom.
+type orderer struct{ c *Core }
+
+func (o orderer) SetLine(number int, name string, weight float64) {
+	t := o.c.book.Table(number)
+	t.Set(name, weight)
+	for _, p := range t.Users {
+		w := o.c.wait(p)
+		w.changed = append(w.changed, change{t, name})
+		if weight > 0 {
+			o.c.align(p, name)
+		}
+	}
+}
+
+func (o orderer) Bind(id, number int, groups []int) {
+	p, t := o.c.proxies[id], o.c.book.Table(number)
+	if p == nil {
+		return
+	}
+	o.c.book.Bind(p, p.held, t, groups)
+	w := o.c.wait(p)
+	w.bound = append(w.bound, t)
+	for _, g := range groups { // levels are forgotten with the table that was before
+		w.levels[g] = o.c.book.Levels[g].Set
+	}
+	for _, l := range t.Lines {
+		o.c.align(p, l.Server)
+	}
+}
+
+// Withdraw concerns the proxies whose tables hold the server, and those that go by tables we do not know.
+func (o orderer) Withdraw(name string, out bool) {
+	o.c.book.Withdraw(name, out)
+	s := o.c.servers[name]
+	if s == nil {
+		return
+	}
+	for _, p := range o.c.order {
+		holds := slices.ContainsFunc(p.held, func(t *tables.Table[*proxy]) bool { return t == nil || t.Find(name) >= 0 })
+		if !p.asleep && (out && holds || !out && bit(s.told, p.id)) {
+			o.c.shut(p, s, out)
+		}
+	}
+}
+
+func (o orderer) Admit(number, group int, share float64, retry int) {
+	if number != brain.AllTables {
+		panic("the module set the level of one table, which this front does not know")
+	}
+	o.c.book.Levels[group] = tables.Level{Share: share, Retry: retry, Set: true}
+	for _, p := range o.c.order {
+		if !p.asleep {
+			o.c.wait(p).levels[group] = true
+		}
+	}
+}
+
+func (o orderer) Receipt(number int) {
+	for _, p := range o.c.pending {
+		p.wait.mark, p.wait.marked = number, true
+	}
+}
+
+// Follow is for lists that come to those who ask only; here the watch follows by itself.
+func (o orderer) Follow() {}
+
+func (o orderer) Wake(inMs float64) { o.c.wakeAt = o.c.now + inMs }
--- a/internal/wire/events.go
+++ b/internal/wire/events.go
@@ -114,49 +114,16 @@
 func (s *server) open(who string, raw []byte, now float64) (*instance, error) {
 	var m struct {
 		RandomSeed uint64
-		Info       struct {
-			Azs     []string
-			Classes []struct {
-				AimMs, Worth float64
-				Repeat       string
-			}
-			Discovery  string
-			FamilyInfo struct {
-				Admit                                     string
-				ChannelRate, PerMessage, MostWaiting      float64
-				DefaultRetry, PushesAllowed, Slices       int
-				DataPlaneSize                             int
-				SmallestConnTable                         float64
-				ReloadSpanMs, ReportEveryMs, TransitMaxMs float64
-				StaysLocal                                []bool
-			}
-			Balancers int
-			Limits    struct{ ConnIdleMs float64 }
-			Prices    struct{ CrossZone float64 }
-			Rules     struct{ AskWithinMs, ColdShare, WarmUpMs, FallMs, StopSendingWithinMs float64 }
-		}
+		Info       json.RawMessage
 	}
 	if err := json.Unmarshal(raw, &m); err != nil {
 		return nil, err
 	}
-	i := &m.Info
-	f := &i.FamilyInfo
-	repeats := map[string]brain.Repeat{"read_like": brain.Retriable, "idempotency_key": brain.Deduped}
-	set := brain.Settings{
-		Zones: len(i.Azs), DefaultRetry: f.DefaultRetry, CanAdmit: f.Admit == "share",
-		MustFollow: i.Discovery == "subscribe", AskWithinMs: i.Rules.AskWithinMs,
-		Sliced: f.Slices > 0, ChannelRate: f.ChannelRate, HeadLines: f.PerMessage, MostWaiting: f.MostWaiting,
-		MostMessages: f.PushesAllowed, MessageSpanMs: f.ReloadSpanMs, LongestWayMs: f.TransitMaxMs,
-		ReportEveryMs: f.ReportEveryMs, ColdShare: i.Rules.ColdShare, WarmUpMs: i.Rules.WarmUpMs,
-		FallMs: i.Rules.FallMs, GraceMs: i.Rules.StopSendingWithinMs, CrossPrice: i.Prices.CrossZone,
-		Proxies: f.DataPlaneSize, Planners: i.Balancers, LeastConns: f.SmallestConnTable,
-		IdleMs: i.Limits.ConnIdleMs,
-	}
-	for k, c := range i.Classes {
-		set.Groups = append(set.Groups, brain.TrafficGroup{BudgetMs: c.AimMs, Utility: c.Worth,
-			Repeat: repeats[c.Repeat], OnlyZone: k < len(f.StaysLocal) && f.StaysLocal[k]})
+	site, err := ReadSettings(m.Info)
+	if err != nil {
+		return nil, err
 	}
-	in := &instance{name: who, out: &s.out, planner: brain.New(set, int64(m.RandomSeed))}
+	in := &instance{name: who, out: &s.out, planner: brain.New(site.Module, int64(m.RandomSeed))}
 	in.planner.Tick(now)
 	s.instances[who] = in
 	return in, nil
