A replaced stream's end no longer takes its proxy for left; a trace of beliefs

Seen: a test of two streams of one proxy found that, when the core ended the older one, the newer was taken off tables and module: Core.Lost compared the stream with the stream's own record and not with the one that is joined. Checked by the story in core_test.go, which fails without the mend.

--- a/cmd/lichenpick/serve.go
+++ b/cmd/lichenpick/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"os"
 	"os/signal"
 	"runtime"
@@ -20,6 +21,7 @@
 
 func serveCommand() *cobra.Command {
 	var file, level, form string
+	var trace bool
 	c := &cobra.Command{Use: "serve", Short: "Run a planner on the operators' platform until SIGTERM; EDGE_CONFIG names its configuration",
 		Args: exactly(0), RunE: func(c *cobra.Command, _ []string) error {
 			hup := make(chan os.Signal, 1)
@@ -43,10 +45,15 @@
 					hangup <- struct{}{}
 				}
 			}()
-			return platform.Run(c.Context(), platform.Options{Config: config, Hangup: hangup, Clock: clock.NewReal(), Network: machine,
+			var to io.Writer
+			if trace {
+				to = os.Stderr
+			}
+			return platform.Run(c.Context(), platform.Options{Trace: to, Config: config, Hangup: hangup, Clock: clock.NewReal(), Network: machine,
 				Reload: func() (platform.Config, error) { return platform.ReadConfig(file) }, Log: log})
 		}}
 	c.Flags().StringVarP(&file, "config", "c", os.Getenv("EDGE_CONFIG"), "configuration, in the platform's JSON")
+	c.Flags().BoolVar(&trace, "trace", false, "write each second what the module believes, beside counts off the sockets")
 	c.Flags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
 	c.Flags().StringVar(&form, "log-form", "text", "text or json")
 	return c
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -4,6 +4,9 @@
 package platform
 
 import (
+	"fmt"
+	"io"
+	"maps"
 	"math"
 	"slices"
 
@@ -80,6 +83,8 @@
 	since float64
 	// By proxy id: told to shut it out by us; perhaps told so by another planner, or by us before we started.
 	told, maybe []uint64
+	// Off the sockets since the last View: tries, failed ones, and ms that the others took.
+	tries, failed, took float64
 }
 
 func bit(set []uint64, id int) bool { return set[id/64]>>(id%64)&1 == 1 }
@@ -124,7 +129,8 @@
 	buf     []byte
 
 	Counts  Counts
-	Trouble string // why the last message or connection was refused; for the log
+	Trouble string       // why the last message or connection was refused; for the log
+	Doubt   func(string) // told of each message that is not heard; may be nil
 }
 
 // NewCore starts a planner at a time.
@@ -199,7 +205,7 @@
 	if k.collector > 0 {
 		c.sources[k.collector-1] = without(c.sources[k.collector-1], k)
 	}
-	if p := k.proxy; p != nil && p.conn == k {
+	if p := k.proxy; p != nil && c.proxies[p.id] == p { // not replaced by a newer stream's
 		c.Counts.Lost++
 		c.leave(p)
 	}
@@ -285,10 +291,12 @@
 	}
 	if w.err != nil {
 		c.Counts.Spoilt++
-		c.Trouble = w.err.Error()
+		if c.Doubt != nil {
+			c.Doubt(w.err.Error() + ": " + string(text))
+		}
 	}
 	k.heard = c.now
-	if p := k.proxy; p != nil && p.conn == k && p.asleep {
+	if p := k.proxy; p != nil && p.asleep && !k.ended {
 		c.wake(p)
 	}
 }
@@ -356,10 +364,12 @@
 	if w.pairs("util"); w.err != nil {
 		return
 	}
-	if c.servers[target] == nil {
+	s := c.servers[target]
+	if s == nil {
 		w.fault("field target names no server")
 		return
 	}
+	s.tries, s.failed, s.took = s.tries+float64(count), s.failed+float64(failed), s.took+mean*float64(count-failed)
 	c.Counts.Heard++
 	c.module.Heard(target, zone, count, failed, mean, over)
 }
@@ -367,8 +377,8 @@
 func (c *Core) use(k *Conn, w *words) {
 	id := w.whole("id", len(c.proxies)-1)
 	group, ok := c.groups[w.word("lane")]
-	count := w.whole("count", mostCount)
-	failed, over := w.whole("fail", count), w.number("over", mostSpanMs)
+	// More may have failed in a period than came in it: they came before.
+	count, failed, over := w.whole("count", mostCount), w.whole("fail", mostCount), w.number("over", mostSpanMs)
 	if !ok {
 		w.fault("field lane names no traffic group")
 	}
@@ -398,6 +408,17 @@
 	c.module.Applied(id, number, took)
 }
 
+// View writes what the module believes, and beside it what came off the sockets since the last time.
+func (c *Core) View(w io.Writer) {
+	c.module.View(w)
+	for _, name := range slices.Sorted(maps.Keys(c.servers)) {
+		s := c.servers[name]
+		fmt.Fprintf(w, "heard %s state=%d out=%t tries=%.0f failed=%.0f mean=%.0f\n", name, s.state, c.book.Out[name], s.tries,
+			s.failed, s.took/math.Max(s.tries-s.failed, 1))
+		s.tries, s.failed, s.took = 0, 0, 0
+	}
+}
+
 // Next carries out at most one decision, and says whether it did.
 func (c *Core) Next(h Host) bool {
 	switch {
--- /dev/null
+++ b/internal/platform/core_test.go
@@ -0,0 +1,349 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"lichenpick/brain"
+	"lichenpick/internal/wire"
+)
+
+const origin = 1.8e12 // Unix ms; the platform's times are of this size
+
+const siteText = `{"Azs":["a","b"],"Balancers":2,"PeriodMs":2,"Classes":[
+ {"Name":"lookup","AimMs":600,"Worth":1,"Repeat":"read_like"},{"Name":"order","AimMs":800,"Worth":2,"Repeat":"non_idempotent"}],
+ "FamilyInfo":{"Admit":"share","ChannelRate":2500,"PerMessage":4,"MostWaiting":3500,"DefaultRetry":1,"PushesAllowed":20,
+ "ReloadSpanMs":10000,"ReportEveryMs":1000,"TransitMaxMs":900,"DataPlaneSize":8,"SmallestConnTable":300},
+ "Rules":{"ColdShare":0.3,"WarmUpMs":8000,"FallMs":3000,"StopSendingWithinMs":3000},"Limits":{"ConnIdleMs":15000}}`
+
+func site(t testing.TB) wire.Site {
+	t.Helper()
+	s, err := wire.ReadSettings([]byte(siteText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// story is a host that plays a planner's connections: it keeps what each was told, and which were ended.
+type story struct {
+	*Core
+	t     testing.TB
+	at    float64 // ms since the start
+	said  map[*Conn]string
+	ended map[*Conn]bool
+}
+
+func begin(t testing.TB, servers int) *story {
+	s := &story{Core: NewCore(site(t), 7, origin), t: t, said: map[*Conn]string{}, ended: map[*Conn]bool{}}
+	s.Listed(brain.Restored, entries(servers, brain.Ready))
+	return s
+}
+
+func entries(n int, state brain.State) (list []brain.Entry) {
+	for k := range n {
+		list = append(list, brain.Entry{Server: fmt.Sprintf("s-%d", k), Zone: k % 2, Size: 1, State: state})
+	}
+	return list
+}
+
+func (s *story) Send(k *Conn, message []byte) { s.said[k] += string(message) }
+func (s *story) End(k *Conn, why string)      { s.ended[k] = true }
+func (s *story) Wake(at float64)              {}
+
+// pass lets time go by, with looks as often as the shell would.
+func (s *story) pass(ms float64) {
+	for end := s.at + ms; ; s.at = min(s.at+50, end) {
+		s.Tick(origin + s.at)
+		for s.Next(s) {
+		}
+		if s.at >= end {
+			return
+		}
+	}
+}
+
+func (s *story) open(lines ...string) *Conn {
+	k := &Conn{}
+	s.Tick(origin + s.at)
+	s.Opened(k)
+	s.say(k, lines...)
+	return k
+}
+
+func (s *story) say(k *Conn, lines ...string) {
+	s.Tick(origin + s.at)
+	for _, l := range lines {
+		s.Fed(k, []byte(l+"\r\n"))
+	}
+	s.pass(0)
+}
+
+func (s *story) joined(id int) *Conn {
+	return s.open(fmt.Sprintf("joined id=%d site=a rps=10 new=1", id))
+}
+
+// answer answers every mark that a proxy was sent and not answered, as the proxy would.
+func (s *story) answer(k *Conn, id int) {
+	for _, m := range slices.Clone(k.proxy.marks) {
+		s.say(k, fmt.Sprintf("applied id=%d seq=%d ms=300", id, m.number))
+	}
+}
+
+func TestAProxyIsServed(t *testing.T) {
+	s := begin(t, 8)
+	k := s.joined(3)
+	s.pass(1000)
+	said := s.said[k]
+	if strings.Count(said, "replace=1") != 1 || !strings.Contains(said, "rows=s-") || !strings.Contains(said, " stamp=") {
+		t.Fatalf("no whole table with a mark: %q", said)
+	}
+	if !strings.Contains(said, "update for=order gate=1 again=1") && strings.Contains(said, "again=2") {
+		t.Errorf("a non-retriable group may be repeated: %q", said)
+	}
+	t.Run("its answer reaches the module", func(t *testing.T) {
+		s.answer(k, 3)
+		if len(k.proxy.marks) != 0 || s.Counts.Marks == 0 || s.Counts.Spoilt > 0 {
+			t.Errorf("%+v", s.Counts)
+		}
+	})
+	t.Run("each message is whole lines, with part=1 on all but the last", func(t *testing.T) {
+		lines := strings.Split(strings.TrimSuffix(said, "\r\n"), "\r\n")
+		for _, l := range lines {
+			if !strings.HasPrefix(l, sayUpdate+" ") || strings.Contains(l, "  ") {
+				t.Errorf("%q", l)
+			}
+		}
+		if strings.Contains(lines[len(lines)-1], "part=") {
+			t.Errorf("the last part says that another follows: %q", lines[len(lines)-1])
+		}
+	})
+	t.Run("more failed than came is no fault: flows end in a later period than they come in", func(t *testing.T) {
+		before := s.Counts
+		s.say(k, "usage id=3 lane=lookup count=0 fail=2 over=1000.0")
+		if s.Counts.Usage != before.Usage+1 || s.Counts.Spoilt != before.Spoilt {
+			t.Errorf("%+v", s.Counts)
+		}
+	})
+	t.Run("a server that drains is shut out within the grace", func(t *testing.T) {
+		list := entries(1, brain.Draining)
+		s.Tick(origin + s.at)
+		s.Listed(brain.Change, list)
+		s.pass(1500)
+		if !strings.Contains(s.said[k], "drop=s-0") && !strings.Contains(s.said[k], "s-0:0") {
+			t.Errorf("it was told nothing of it: %q", s.said[k])
+		}
+	})
+}
+
+func TestStreamsComeAndGo(t *testing.T) {
+	s := begin(t, 8)
+	old := s.joined(3)
+	s.pass(1000)
+	next := s.joined(3)
+	s.pass(1000)
+	t.Run("a new stream of a proxy takes the place of the old one and gets its table whole", func(t *testing.T) {
+		if s.proxies[3] == nil || s.proxies[3].conn != next || !strings.Contains(s.said[next], "replace=1") {
+			t.Errorf("%q", s.said[next])
+		}
+	})
+	t.Run("the old one's end is not taken for a leaving", func(t *testing.T) {
+		s.Lost(old)
+		if !s.ended[old] || s.proxies[3] == nil || len(s.order) != 1 {
+			t.Errorf("ended %t, joined %d", s.ended[old], len(s.order))
+		}
+	})
+	t.Run("the new one's end is", func(t *testing.T) {
+		s.Lost(next)
+		if s.proxies[3] != nil || len(s.order) != 0 || s.Open() != 0 {
+			t.Errorf("joined %d, open %d", len(s.order), s.Open())
+		}
+	})
+	t.Run("a proxy from elsewhere is let back what others may have shut out", func(t *testing.T) {
+		k := s.open("joined id=4 site=b rps=10 new=0")
+		s.pass(1000)
+		if !strings.Contains(s.said[k], "undrop=s-") {
+			t.Errorf("%q", s.said[k])
+		}
+	})
+	t.Run("one that answers nothing is taken for left, not ended, and taken back when it speaks", func(t *testing.T) {
+		k := s.joined(5)
+		s.pass(quietMs + 3000)
+		if !k.proxy.asleep || s.ended[k] {
+			t.Fatalf("asleep %t, ended %t", k.proxy.asleep, s.ended[k])
+		}
+		said := len(s.said[k])
+		s.say(k, "usage id=5 lane=lookup count=1 fail=0 over=1000")
+		s.pass(1000)
+		if k.proxy.asleep || !strings.Contains(s.said[k][said:], "replace=1") {
+			t.Errorf("%q", s.said[k][said:])
+		}
+	})
+}
+
+func TestStrangersAndSpoiltMessages(t *testing.T) {
+	s := begin(t, 8)
+	k := s.joined(3)
+	c := s.open("collector site=a")
+	s.pass(500)
+	before := s.said[k]
+	for name, first := range map[string]string{
+		"HTTP":                     "GET / HTTP/1.1",
+		"a proxy out of range":     "joined id=8 site=a rps=1 new=1",
+		"no such zone":             "joined id=4 site=c rps=1 new=1",
+		"a rate that is no figure": "joined id=4 site=a rps=NaN new=1",
+		"a collector of no zone":   "collector site=zz",
+		"a report before joining":  "usage id=3 lane=lookup count=1 fail=0 over=1000",
+		"an order":                 "update for=lookup rows=s-0:1",
+		"a long word":              strings.Repeat("j", 4000),
+		"a long message":           "joined " + strings.Repeat("x=1 ", 4000),
+		"control bytes":            "joined\x00 id=4",
+	} {
+		t.Run("refused: "+name, func(t *testing.T) {
+			x := s.open(first)
+			if !s.ended[x] || s.said[x] != "refused\r\n" {
+				t.Errorf("ended %t, told %q", s.ended[x], s.said[x])
+			}
+		})
+	}
+	t.Run("one that says nothing, half a message, or only ping is closed in time", func(t *testing.T) {
+		a, b, d := s.open(), s.open(), s.open("ping")
+		s.Fed(b, []byte("joined id"))
+		s.pass(2000)
+		if !s.ended[a] || !s.ended[b] || !s.ended[d] || !strings.HasPrefix(s.said[d], "pong\r\n") {
+			t.Errorf("%t %t %t %q", s.ended[a], s.ended[b], s.ended[d], s.said[d])
+		}
+	})
+	for _, line := range []string{"heard site=a target=s-0 count=2 fail=3 mean=1 over=1000", "heard site=a target=s-0 count=2 fail=1 mean=inf over=1000",
+		"heard site=a target=s-99 count=2 fail=1 mean=1 over=1000", "heard site=a target=s-0 count=-2 fail=0 mean=1 over=1000",
+		"heard site=a target=s-0 count=x fail=0 mean=1 over=1000", "heard target=s-0 count=2 fail=0 mean=1 over=1000",
+		"heard site=a target=s-0 count=2 fail=0 mean=1 over=1000 util=inflight:-3", "usage id=77 lane=lookup count=1 fail=0 over=1000",
+		"usage id=3 lane=none count=1 fail=0 over=1000", "usage id=3 lane=lookup count=1 count=1 fail=0 over=1000", "heard"} {
+		t.Run("spoilt alone: "+line, func(t *testing.T) {
+			was := s.Counts
+			s.say(c, line, "heard site=a target=s-0 count=2 fail=1 mean=1 over=1000 util=inflight:7")
+			if s.Counts.Spoilt != was.Spoilt+1 || s.Counts.Heard != was.Heard+1 || s.Counts.Usage != was.Usage || s.ended[c] {
+				t.Errorf("%+v, ended %t", s.Counts, s.ended[c])
+			}
+		})
+	}
+	t.Run("an answer to a mark never sent is not heard", func(t *testing.T) {
+		was := s.Counts
+		s.say(k, "applied id=3 seq=60000 ms=1")
+		if s.Counts.Marks != was.Marks || s.ended[k] {
+			t.Errorf("%+v", s.Counts)
+		}
+	})
+	t.Run("a stream that goes on with what can't be read is closed", func(t *testing.T) {
+		s.Fed(k, []byte("\x01\x02garbage"))
+		s.pass(0)
+		if !s.ended[k] || s.proxies[3] != nil || strings.Contains(strings.TrimPrefix(s.said[k], before), "refused") {
+			t.Errorf("ended %t", s.ended[k])
+		}
+	})
+	t.Run("nothing is ever written to a collector but pong", func(t *testing.T) {
+		s.say(c, "ping")
+		if s.said[c] != "pong\r\n" {
+			t.Errorf("%q", s.said[c])
+		}
+	})
+	t.Run("room is made of the oldest stranger, never of who has joined", func(t *testing.T) {
+		a, b := s.open(), s.open()
+		if !s.Shed(s) || !s.ended[a] || s.ended[b] || !s.Shed(s) || s.Shed(s) || s.ended[c] {
+			t.Errorf("%t %t %t", s.ended[a], s.ended[b], s.ended[c])
+		}
+	})
+}
+
+func TestSplitter(t *testing.T) {
+	text := "joined id=3 site=a rps=10 new=1\r\nping\r\nusage id=3 lane=lookup count=1 fail=0 over=1000.0\r\n"
+	want := strings.Split(strings.TrimSuffix(text, "\r\n"), "\r\n")
+	for cut := range len(text) {
+		var s splitter
+		var got []string
+		for _, piece := range []string{text[:cut], text[cut:]} {
+			if err := s.feed([]byte(piece), mostLine, func(l []byte) bool { got = append(got, string(l)); return true }); err != nil {
+				t.Fatalf("cut at %d: %v", cut, err)
+			}
+		}
+		if !slices.Equal(got, want) {
+			t.Fatalf("cut at %d: %q", cut, got)
+		}
+	}
+	t.Run("a message of the most bytes is held, one more is not", func(t *testing.T) {
+		for _, more := range []int{0, 1} {
+			var s splitter
+			line := sayHeard + " x=" + strings.Repeat("1", mostLine-len(sayHeard)-3+more) + "\r\n"
+			err := s.feed([]byte(line[:len(line)/2]), mostLine, func([]byte) bool { return true })
+			if err == nil {
+				err = s.feed([]byte(line[len(line)/2:]), mostLine, func([]byte) bool { return true })
+			}
+			if (err == errLong) != (more == 1) || len(s.part) > mostLine {
+				t.Errorf("%d more: %v", more, err)
+			}
+		}
+	})
+}
+
+// FuzzFed holds that no bytes of a stranger or a stream bring the core to a fault or cost it memory beyond a message.
+func FuzzFed(f *testing.F) {
+	f.Add("joined id=3 site=a rps=10 new=1\r\nusage id=3 lane=lookup count=1 fail=0 over=1000\r\napplied id=3 seq=1 ms=2\r\n", 7)
+	f.Add("collector site=a\r\nheard site=a target=s-0 count=2 fail=1 mean=1 over=1 util=a:1,b:2\r\nping\r\n", 3)
+	f.Add("GET / HTTP/1.1\r\n\r\n", 1)
+	f.Fuzz(func(t *testing.T, text string, cut int) {
+		s := begin(t, 3)
+		k := s.open()
+		cut = max(min(cut, len(text)), 0)
+		for _, piece := range []string{text[:cut], text[cut:]} {
+			s.Fed(k, []byte(piece))
+			s.pass(100)
+		}
+		if k.Unjoined() && len(k.lines.part) > firstLine+2 || len(s.said[k]) > 1<<16 {
+			t.Errorf("a stranger holds %d bytes and was told %d", len(k.lines.part), len(s.said[k]))
+		}
+	})
+}
+
+func TestListing(t *testing.T) {
+	zones := []string{"a", "b"}
+	one := `{"version":%s,"full":%s,"servers":[{"id":"s-1","addr":"x:1","zone":"b","kind":"m","cell":3,"state":"%s","weight":1.5,"started_ms":%s}]}`
+	f := follower{zones: zones, version: 41}
+	l, ok, err := f.take([]byte(fmt.Sprintf(one, "43", "false", "draining", "1.8e12")))
+	if e := (brain.Entry{Server: "s-1", Zone: 1, State: brain.Draining, Size: 1.5, BornMs: 1.8e12}); err != nil || !ok || l.entries[0] != e || f.version != 43 {
+		t.Errorf("%+v %t %v", l, ok, err)
+	}
+	if _, ok, err := f.take(nil); ok || err != nil {
+		t.Errorf("an empty line tells something: %v", err)
+	}
+	for name, line := range map[string]string{"cut": `{"version":44,"ful`, "state": fmt.Sprintf(one, "44", "false", "odd", "0"),
+		"back": fmt.Sprintf(one, "42", "false", "ready", "0"), "no version": `{"full":true}`,
+		"weight": strings.Replace(fmt.Sprintf(one, "44", "false", "ready", "0"), "1.5", "-1", 1),
+		"name":   strings.Replace(fmt.Sprintf(one, "44", "false", "ready", "0"), "s-1", "s 1", 1)} {
+		t.Run("what can't be read changes nothing and asks for the whole list: "+name, func(t *testing.T) {
+			f := follower{zones: zones, version: 43}
+			if _, ok, err := f.take([]byte(line)); ok || err == nil || f.version != 43 || !f.whole {
+				t.Errorf("%t %v %+v", ok, err, f)
+			}
+		})
+	}
+	t.Run("a whole list is taken whatever its version", func(t *testing.T) {
+		f := follower{zones: zones, version: 43, whole: true}
+		if _, ok, err := f.take([]byte(fmt.Sprintf(one, "2", "true", "ready", "0"))); !ok || err != nil || f.version != 2 || f.whole {
+			t.Errorf("%t %v %+v", ok, err, f)
+		}
+	})
+	t.Run("many servers decode", func(t *testing.T) {
+		var m struct{ Servers []map[string]any }
+		for k := range 300 {
+			m.Servers = append(m.Servers, map[string]any{"id": "s-" + strconv.Itoa(k), "zone": "a", "state": "ready"})
+		}
+		raw, _ := json.Marshal(map[string]any{"version": 1, "full": true, "servers": m.Servers})
+		if l, err := readListing(raw, zones); err != nil || len(l.entries) != 300 {
+			t.Errorf("%d %v", len(l.entries), err)
+		}
+	})
+}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -23,6 +23,7 @@
 	dialMs    = 1000.0  // ms; the agent is on the same machine
 	againMs   = 50.0    // ms; first wait before asking again, doubled each time
 	againMost = 500.0   // ms; what is to be told counts as told after 6 s
+	mostShown = 1000    // bytes of a line that a debug log shows
 	mostList  = 4 << 20 // bytes of a list, or of a line of a watch
 )
 
@@ -96,6 +97,9 @@
 
 func (a *agent) told(raw []byte) error {
 	l, ok, err := a.follow.take(bytes.TrimSpace(raw))
+	if ok || err != nil {
+		a.log.Debug("listed", "version", l.version, "full", l.full, "entries", len(l.entries), "line", string(raw[:min(len(raw), mostShown)]))
+	}
 	if err != nil || !ok {
 		return err
 	}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -22,6 +22,7 @@
 	mostUnsent = 256 << 10 // bytes that a proxy may leave unread here; far more than its messages of a minute
 	spare      = 24        // descriptors that are not connections': list, log, the runtime's
 	countsMs   = 10000.0   // ms between lines of counts in the log
+	traceMs    = 1000.0    // ms between traces
 	panicMs    = 100.0     // ms of rest after a fault, so that one that lasts does not spin
 	lastMs     = 500.0     // ms that the last words to a connection may take
 	acceptMs   = 5.0       // ms of rest after a failed accept
@@ -36,6 +37,7 @@
 	Network clock.Network
 	Log     *slog.Logger
 	Ready   func(net.Addr) // may be nil
+	Trace   io.Writer      // is told each second what the module believes and what came off the sockets; may be nil
 }
 
 // shell connects the core to its connections. The lock is the core's: whoever holds it calls the core.
@@ -66,6 +68,7 @@
 		s.room = max(o.Config.Sockets-spare, 8)
 	}
 	s.core = NewCore(o.Config.Site, o.Config.Seed, s.now())
+	s.core.Doubt = func(what string) { s.Log.Debug("message not heard", "why", what) }
 	s.core.Listed(brain.Restored, o.Config.Known)
 	l, err := o.Network.Listen(ctx, o.Config.Listen)
 	if err != nil {
@@ -115,11 +118,16 @@
 // decide carries out what the core decides, after news and when it asked for. What comes within the settings' period
 // is looked at together.
 func (s *shell) decide(ctx context.Context) {
-	counts := s.now()
+	counts, traced := s.now(), s.now()
 	for ctx.Err() == nil {
 		ok := s.with(func() {
 			for s.core.Next(s) {
 			}
+			if now := s.now(); s.Trace != nil && now-traced >= traceMs {
+				traced = now
+				fmt.Fprintf(s.Trace, "trace at=%.3f\n", now/1000)
+				s.core.View(s.Trace)
+			}
 			if now := s.now(); now-counts >= countsMs {
 				counts = now
 				s.Log.Info("counts", "open", s.core.Open(), "joined", len(s.core.order), "counts", fmt.Sprintf("%+v", s.core.Counts))
