A newcomer that says when it started is no stranger

Traced beside the sockets: the newcomers were listed ready and warm, wanted 0.3 to 0.7 flows a second each, and stood so for 4 to 14 s, as a stranger keeps to 0.08 of its cap until a delivery is heard, and reports come in rounds of up to 5 s once one planner has all 150 proxies (120 report lines a second). At fault: Planner.stranger. Ruled out: the list (it came at once, with starts), the channel (waiting under 600 of 3,300), the new names.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -65,7 +65,7 @@
 	levelUp    = 0.3    // part more let in at each step while latency is nil, less the nearer it is to calm
 	levelEach  = 0.1    // least level of a traffic group; some of it shows whether the jam is over
 
-	forgetMs   = 600000.0 // ms that a server which is gone, and in no table, is remembered; its name may come back
+	forgetMs   = 600000.0 // ms that a server gone, and in no table, is remembered; its name may come back
 	slowest    = 6.0      // times slower that the channel may be at the worst, until a receipt shows otherwise
 	askAgainMs = 1200.0   // ms; first wait after a failed call for the list, doubled each time
 	wakeMs     = 200.0    // ms between looks when nothing comes in; well under every grace
@@ -266,7 +266,7 @@
 	return s.State == Gone && p.now-s.told > forgetMs && !slices.ContainsFunc(s.rows, (*row).held)
 }
 
-// Joined takes in a proxy, with the times of messages that it had from another planner: they count in its span.
+// Joined takes in a proxy, with the times of messages that another planner sent it: they count in its span.
 func (p *Planner) Joined(id, zone int, usual float64, sent ...float64) {
 	p.Left(id)
 	if zone < 0 || zone >= p.set.Zones {
@@ -478,8 +478,10 @@
 
 func (p *Planner) cold(s *server) bool { return s.BornMs > 0 && p.now-s.BornMs < p.set.WarmUpMs }
 
-// stranger is a server new to the list that never delivered; a wrong list may name some that are not ours.
-func (p *Planner) stranger(s *server) bool { return p.known && !s.proven && s.late }
+// stranger is a server new to the list that never delivered, though it is said to run since long ago; a wrong
+// list may name some that are not ours. One that says when it started is new, and has the ramp of cold ones.
+// Harm: a wrong list with starts would be believed until the evidence is in.
+func (p *Planner) stranger(s *server) bool { return p.known && !s.proven && s.late && s.BornMs == 0 }
 
 // ramp is the part of its cap that a server may be given: a cold one starts low and doubles.
 func (p *Planner) ramp(s *server) float64 {
@@ -756,8 +758,8 @@
 	}
 }
 
-// waterline finds nu with the sum of d*max(v-d*nu, 0) equal to C; leaving out those under it only raises it. Where it does
-// not, by rounding, one at the line would come back in for ever.
+// waterline finds nu with the sum of d*max(v-d*nu, 0) equal to C; leaving out those under it only raises it.
+// Where it does not, by rounding, one at the line would come back in for ever.
 func waterline(v, d []float64, C float64) float64 {
 	for nu, n := -math.MaxFloat64, math.MaxInt; ; {
 		sumDV, sumDD, in := 0.0, 0.0, 0
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -489,6 +489,17 @@
 			}
 		}
 	})
+	// A release under load replaced half of a fleet by new names; held to a stranger's share until they were heard, they
+	// stood idle for seconds while the others jammed.
+	t.Run("a newcomer that says when it started is no stranger", func(t *testing.T) {
+		f := fleet(settings(), 8)
+		f.run(10, fine)
+		f.p.Listed(Change, []Entry{{Server: "x", Zone: 0, Size: 1, BornMs: f.now - f.p.set.WarmUpMs - 1}})
+		f.run(4, but("x", 0, 0, 0))
+		if w := f.share(0, 0, "x"); w < 0.05 {
+			t.Errorf("it has %.3f of a proxy's flows before it is heard", w)
+		}
+	})
 	t.Run("a full server that still delivers is not put out", func(t *testing.T) {
 		f := fleet(settings(), 8)
 		f.run(10, fine)
