--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -88,7 +88,13 @@
 	g.Go(func() error { s.follow(ctx); return nil })
 	g.Go(func() error { s.decide(ctx); return nil })
 	g.Go(func() error { s.accept(ctx, l); return nil })
-	return g.Wait()
+	err = g.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.core.conns {
+		k.Out.(*stream).Close()
+	}
+	return err
 }
 
 func (s *shell) now() float64 { return s.origin + s.Clock.Mono() }
