Bindings that end others' withdrawals are counted whole; lines really waiting are traced

Seen: a proxy that joins with tables from elsewhere is told of each server in its table whether it is in or out, as it keeps withdrawals over streams. The module counted those lines for withdrawn servers alone: in a story of 150 proxies at once, 3,300 lines waited where it counted 2,300, beyond its own share of the queue. At fault: the cost in Planner.bind. Planner.Brings tells it now. The core counts the lines that would wait at the stated rate, for the trace and the log.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -113,6 +113,7 @@
 	sent           []float64       // times of the last messages
 	ordered, done  float64         // lines ordered to it, and known to have reached it
 	marks          map[int]float64 // lines ordered up to each receipt asked for
+	brings         bool            // withdrawals of others; a table then names each server twice
 }
 
 // client is the paper's i: the proxies of one zone, for the traffic groups that may go to the same servers.
@@ -280,6 +281,14 @@
 	p.byID[id], p.proxies, p.stirred = q, append(p.proxies, q), true
 }
 
+// Brings tells that a joined proxy may hold withdrawals that others ordered, and that its front will end these when
+// it is bound. Counted, as a rush of such proxies would otherwise fill the channel beyond its limit.
+func (p *Planner) Brings(id int) {
+	if q := p.byID[id]; q != nil {
+		q.brings = true
+	}
+}
+
 func (p *Planner) Left(id int) {
 	gone := p.byID[id]
 	delete(p.byID, id)
@@ -1027,6 +1036,9 @@
 	p.todo = append(p.todo, func(h Host) bool {
 		out := only(t.rows, func(r *row) bool { return r.server.out })
 		cost := float64(1 + len(p.levels) + len(t.rows) + len(out))
+		if q.brings {
+			cost += float64(len(t.rows) - len(out))
+		}
 		if !slices.ContainsFunc(t.rows, (*row).held) || !p.pay(cost, []*proxy{q}, ruled) {
 			return false
 		}
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -97,7 +97,8 @@
 
 // Counts are what happened since the start.
 type Counts struct {
-	Joins, Lost, Asleep, Refused, Unreadable, Spoilt, Heard, Usage, Marks, Messages, Bytes, Lists uint64
+	Joins, Lost, Asleep, Refused, Unreadable, Spoilt, Heard, Usage, Marks, Messages, Lines, Bytes, Lists uint64
+	MostWaiting                                                                                          float64 // lines in the channel, were it as fast as stated; the module's own figure is in the trace
 }
 
 // Host carries out what the core decides. Each method is one decision.
@@ -128,6 +129,8 @@
 	told    float64
 	buf     []byte
 
+	waiting, countedAt float64 // lines that were sent off and would wait
+
 	Counts  Counts
 	Trouble string       // why the last message or connection was refused; for the log
 	Doubt   func(string) // told of each message that is not heard; may be nil
@@ -320,7 +323,9 @@
 	c.Counts.Joins++
 	c.fresh = without(c.fresh, k)
 	k.proxy, c.proxies[id], c.order = p, p, append(c.order, p)
-	c.module.Joined(id, zone, usual)
+	if c.module.Joined(id, zone, usual); !first {
+		c.module.Brings(id)
+	}
 }
 
 // wake takes a proxy back that was silent.
@@ -330,6 +335,7 @@
 		setBit(s.maybe, p.id, true)
 	}
 	c.module.Joined(p.id, p.zone, p.usual, p.sent...)
+	c.module.Brings(p.id)
 }
 
 func (c *Core) zone(w *words) int {
@@ -411,6 +417,7 @@
 // View writes what the module believes, and beside it what came off the sockets since the last time.
 func (c *Core) View(w io.Writer) {
 	c.module.View(w)
+	fmt.Fprintf(w, "channel waiting=%.0f\n", math.Max(0, c.waiting-(c.now-c.countedAt)*c.site.Module.ChannelRate/1000))
 	for _, name := range slices.Sorted(maps.Keys(c.servers)) {
 		s := c.servers[name]
 		fmt.Fprintf(w, "heard %s state=%d out=%t tries=%.0f failed=%.0f mean=%.0f\n", name, s.state, c.book.Out[name], s.tries,
@@ -528,6 +535,12 @@
 		p.sent = slices.DeleteFunc(p.sent, func(at float64) bool { return at < span })
 	}
 	p.sent = append(p.sent, c.now)
+	lines := 0
+	for _, u := range parts {
+		lines += u.lines()
+	}
+	c.waiting = math.Max(0, c.waiting-(c.now-c.countedAt)*c.site.Module.ChannelRate/1000) + float64(lines) + c.site.Module.HeadLines
+	c.countedAt, c.Counts.Lines, c.Counts.MostWaiting = c.now, c.Counts.Lines+uint64(lines), math.Max(c.Counts.MostWaiting, c.waiting)
 	c.buf = appendUpdates(c.buf[:0], parts)
 	c.Counts.Messages, c.Counts.Bytes = c.Counts.Messages+1, c.Counts.Bytes+uint64(len(c.buf))
 	h.Send(p.conn, c.buf)
--- a/internal/platform/core_test.go
+++ b/internal/platform/core_test.go
@@ -185,6 +185,36 @@
 	})
 }
 
+// A planner that starts anew meets all proxies at once, with tables and withdrawals that others ordered. Each binding then
+// names each server twice, which the module did not count.
+func TestARushOfProxiesFitsTheChannel(t *testing.T) {
+	set := site(t)
+	set.Module.Proxies = 150
+	s := &story{Core: NewCore(set, 7, origin), t: t, said: map[*Conn]string{}, ended: map[*Conn]bool{}}
+	s.Listed(brain.Restored, entries(30, brain.Ready))
+	conns := make([]*Conn, 150)
+	for id := range conns {
+		k := &Conn{}
+		s.Opened(k)
+		s.Fed(k, []byte(fmt.Sprintf("joined id=%d site=%s rps=2 new=0\r\n", id, []string{"a", "b"}[id%2])))
+		conns[id] = k
+	}
+	for range 20 {
+		s.pass(300)
+		for id, k := range conns {
+			s.answer(k, id)
+		}
+	}
+	for id, k := range conns {
+		if !strings.Contains(s.said[k], "replace=1") {
+			t.Errorf("proxy %d has no table after 6 s", id)
+		}
+	}
+	if most := 0.7 * set.Module.MostWaiting; s.Counts.MostWaiting > most || s.Counts.MostWaiting < most/4 {
+		t.Errorf("%.0f lines waited, where %.0f may", s.Counts.MostWaiting, most)
+	}
+}
+
 func TestStrangersAndSpoiltMessages(t *testing.T) {
 	s := begin(t, 8)
 	k := s.joined(3)
--- a/internal/platform/update.go
+++ b/internal/platform/update.go
@@ -20,6 +20,17 @@
 	stamped      bool
 }
 
+// lines counts what a part takes of the channel, without a message's head.
+func (u update) lines() int {
+	n := len(u.rows) + len(u.drop) + len(u.undrop)
+	for _, one := range []bool{u.replace, u.stamped, u.level.Set} {
+		if one {
+			n++
+		}
+	}
+	return n
+}
+
 // appendUpdates writes the parts of one message.
 func appendUpdates(to []byte, parts []update) []byte {
 	for n, u := range parts {
