One bookkeeping of tables for both fronts: internal/planner goes by internal/tables

Need: tables, bindings, withdrawals and levels were kept twice, in internal/planner and for the platform. A proxy that moves one of two groups off a table stays among its users, which the older code got wrong where the module would have bound so (it does not).

--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -20,6 +20,7 @@
 	"lichenpick/internal/orders"
 	"lichenpick/internal/settings"
 	"lichenpick/internal/sharing"
+	"lichenpick/internal/tables"
 	"lichenpick/proto/order"
 	pb "lichenpick/proto/settings"
 )
@@ -71,10 +72,10 @@
 	streams     uint64
 	heard       float64
 	link        *orders.Link
-	tables      []*table         // by group; nil where this stream bound none
-	holds       []*order.Holding // by its own word, from earlier streams
-	out         map[string]bool  // withdrawals that it was told of
-	wait        *order.Orders    // decided in this look
+	tables      []*tables.Table[*peer] // by group; nil where this stream bound none
+	holds       []*order.Holding       // by its own word, from earlier streams
+	out         map[string]bool        // withdrawals that it was told of
+	wait        *order.Orders          // decided in this look
 	cost        float64
 	must        bool // holds a withdrawal of what drains or is gone
 	messages    uint64
@@ -103,23 +104,6 @@
 	receipts map[uint32]bool
 }
 
-// table is a table of the module: its lines in the order of their coming, and who is bound to it.
-type table struct {
-	number int
-	lines  []*order.Line
-	users  []*peer
-}
-
-func (t *table) find(server string) int {
-	return slices.IndexFunc(t.lines, func(l *order.Line) bool { return l.Server == server })
-}
-
-type level struct {
-	share float64
-	retry int
-	set   bool
-}
-
 type input struct {
 	at   float64
 	what string
@@ -150,9 +134,7 @@
 	peers       []*peer // by the module's number; nil where one left
 	free        []int
 	pending     []*peer // with orders decided in this look
-	tables      map[int]*table
-	out         map[string]bool
-	levels      []level
+	book        *tables.Book[*peer]
 	todo        []func(Host) // carried out before anything new is decided
 	wakeAt      float64
 	toldWake    float64
@@ -197,8 +179,8 @@
 // NewCore starts a planner at a time. The incarnation tells it from earlier ones under its name.
 func NewCore(set *pb.Planner, module Decider, incarnation uint64, now float64) *Core {
 	c := &Core{module: module, set: set, incarnation: incarnation, now: now, zones: &bart.Table[int]{}, zoneNames: map[string]int{},
-		listed: map[string]*listing{}, names: map[string]*peer{}, tables: map[int]*table{}, out: map[string]bool{},
-		levels: make([]level, len(set.Groups)), toldWake: math.Inf(1), Order: hdrhistogram.New(1, 600e6, 3)}
+		listed: map[string]*listing{}, names: map[string]*peer{}, book: tables.NewBook[*peer](len(set.Groups)),
+		toldWake: math.Inf(1), Order: hdrhistogram.New(1, 600e6, 3)}
 	c.Counts.Endings = map[orders.Reason]uint64{}
 	var names []string
 	for n, z := range set.Zones {
@@ -321,7 +303,7 @@
 		c.end(old.stream, &orders.Ending{Reason: orders.Replaced, Detail: fmt.Sprintf("by a stream from %s", s.Address)})
 	}
 	p := &peer{name: j.Proxy, zone: zone, stream: s, incarnation: j.Incarnation, streams: j.Stream, heard: c.now,
-		link: &orders.Link{}, tables: make([]*table, len(c.levels)), holds: j.Holds, out: map[string]bool{}, usual: j.UsualPerS}
+		link: &orders.Link{}, tables: make([]*tables.Table[*peer], len(c.book.Levels)), holds: j.Holds, out: map[string]bool{}, usual: j.UsualPerS}
 	if n := len(c.free); n > 0 {
 		p.number, c.free = c.free[n-1], c.free[:n-1]
 		c.peers[p.number] = p
@@ -343,7 +325,7 @@
 	// What is withdrawn binds from the first moment on, also for tables that others gave it.
 	for _, h := range p.holds {
 		for _, l := range h.Lines {
-			if c.out[l.Server] && !p.out[l.Server] {
+			if c.book.Out[l.Server] && !p.out[l.Server] {
 				p.out[l.Server], w.Withdrawn = true, append(w.Withdrawn, l.Server)
 			}
 		}
@@ -395,12 +377,7 @@
 	c.channel.Drop(p.link)
 	c.intake.forget(p.usage)
 	p.usage = nil
-	for g, t := range p.tables {
-		if t != nil {
-			t.users = slices.DeleteFunc(t.users, func(q *peer) bool { return q == p })
-		}
-		p.tables[g] = nil
-	}
+	c.book.Leave(p, p.tables)
 	c.pending = slices.DeleteFunc(c.pending, func(q *peer) bool { return q == p })
 	p.wait, p.cost, p.must, p.unanswered = nil, 0, false, nil
 	c.module.Left(p.number)
@@ -439,12 +416,12 @@
 		c.intake.add(l.tallies[p.zone], int(x.Tries), int(x.Dropped), x.LatencyMs)
 	}
 	if p.usage == nil {
-		for g := range c.levels {
+		for g := range c.book.Levels {
 			p.usage = append(p.usage, &tally{proxy: p, group: g})
 		}
 	}
 	for _, x := range m.Groups {
-		if int(x.Group) < len(c.levels) {
+		if int(x.Group) < len(c.book.Levels) {
 			c.intake.add(p.usage[x.Group], int(x.Came), int(x.Dropped), 0)
 		}
 	}
@@ -636,7 +613,7 @@
 	for _, t := range p.tables {
 		if t == nil {
 			bare = true
-		} else if t.find(server) >= 0 {
+		} else if t.Find(server) >= 0 {
 			return true
 		}
 	}
@@ -674,7 +651,7 @@
 	t.c.listChanged = t.c.listChanged || form != brain.Failed
 	t.c.module.Listed(form, entries)
 	for name, l := range t.c.listed {
-		if l.state == brain.Gone && t.c.now-l.since > goneMs && !t.c.out[name] {
+		if l.state == brain.Gone && t.c.now-l.since > goneMs && !t.c.book.Out[name] {
 			delete(t.c.listed, name)
 		}
 	}
@@ -683,33 +660,16 @@
 // orderer carries out the module's decisions: who holds what, and what is to be told to whom.
 type orderer struct{ c *Core }
 
-func (o orderer) table(number int) *table {
-	t := o.c.tables[number]
-	if t == nil {
-		t = &table{number: number}
-		o.c.tables[number] = t
-	}
-	return t
-}
-
 func (o orderer) SetLine(number int, server string, weight float64) {
-	t := o.table(number)
-	at := t.find(server)
-	switch {
-	case weight <= 0 && at >= 0:
-		t.lines = slices.Delete(t.lines, at, at+1)
-	case at >= 0:
-		t.lines[at] = &order.Line{Server: server, Weight: weight}
-	case weight > 0:
-		t.lines = append(t.lines, &order.Line{Server: server, Weight: weight})
-	}
-	for _, p := range t.users {
+	t := o.c.book.Table(number)
+	t.Set(server, weight)
+	for _, p := range t.Users {
 		forget := weight <= 0 && p.out[server] && !o.c.holding(p, server)
 		if forget {
 			delete(p.out, server)
 		}
 		// A withdrawal holds for all joined proxies; one that held no table with the server was not told.
-		if weight > 0 && (o.c.out[server] || p.inherited[server] > 0) && !p.out[server] {
+		if weight > 0 && (o.c.book.Out[server] || p.inherited[server] > 0) && !p.out[server] {
 			o.c.withdraw(p, server, true)
 		}
 		o.c.order(p, 1, &order.Order{What: &order.Order_Line{Line: &order.SetLine{Table: uint32(number),
@@ -718,41 +678,34 @@
 }
 
 func (o orderer) Bind(proxy, number int, groups []int) {
-	p, t := o.c.peers[proxy], o.table(number)
+	p, t := o.c.peers[proxy], o.c.book.Table(number)
 	if p == nil || !p.commanded {
 		return
 	}
-	b := &order.Bind{Table: uint32(number), Lines: slices.Clone(t.lines)}
+	b := &order.Bind{Table: uint32(number), Lines: make([]*order.Line, 0, len(t.Lines))}
 	for _, g := range groups {
 		b.Groups = append(b.Groups, uint32(g))
-		if old := p.tables[g]; old != nil {
-			old.users = slices.DeleteFunc(old.users, func(q *peer) bool { return q == p })
-		}
-		p.tables[g] = t
-	}
-	if !slices.Contains(t.users, p) {
-		t.users = append(t.users, p)
 	}
-	for _, l := range t.lines {
-		if o.c.out[l.Server] || p.inherited[l.Server] > 0 {
+	o.c.book.Bind(p, p.tables, t, groups)
+	for _, l := range t.Lines {
+		b.Lines = append(b.Lines, &order.Line{Server: l.Server, Weight: l.Weight})
+		if o.c.book.Out[l.Server] || p.inherited[l.Server] > 0 {
 			b.Withdrawn, p.out[l.Server] = append(b.Withdrawn, l.Server), true
 			if o.c.gone(p, l.Server) {
 				b.Going = append(b.Going, l.Server)
 			}
 		}
 	}
-	for g, l := range o.c.levels {
-		if l.set {
-			b.Levels = append(b.Levels, &order.Level{Group: uint32(g), Share: l.share, Retry: uint32(l.retry)})
+	for g, l := range o.c.book.Levels {
+		if l.Set {
+			b.Levels = append(b.Levels, &order.Level{Group: uint32(g), Share: l.Share, Retry: uint32(l.Retry)})
 		}
 	}
 	o.c.order(p, float64(1+len(b.Lines)+len(b.Withdrawn)+len(b.Levels)), &order.Order{What: &order.Order_Bind{Bind: b}})
 }
 
 func (o orderer) Withdraw(server string, out bool) {
-	if o.c.out[server] = out; !out {
-		delete(o.c.out, server)
-	}
+	o.c.book.Withdraw(server, out)
 	for _, p := range o.c.peers {
 		if p != nil && p.commanded && (out && o.c.holding(p, server) || !out && p.out[server] && p.inherited[server] == 0) {
 			o.c.withdraw(p, server, out)
@@ -764,7 +717,7 @@
 	if number != brain.AllTables {
 		panic("the module set the level of one table, which the stream cannot say")
 	}
-	o.c.levels[group] = level{share, retry, true}
+	o.c.book.Levels[group] = tables.Level{Share: share, Retry: retry, Set: true}
 	for _, p := range o.c.peers {
 		if p != nil && p.commanded {
 			o.c.order(p, 1, &order.Order{What: &order.Order_Level{Level: &order.Level{Group: uint32(group), Share: share, Retry: uint32(retry)}}})
--- a/internal/planner/core_test.go
+++ b/internal/planner/core_test.go
@@ -296,8 +296,8 @@
 	if w.told(s, func(o *order.Order) bool { return o.GetWithdraw().GetServer() == "s2" }) < 0 {
 		t.Fatal("it was not told of the drain")
 	}
-	if p := w.names["x"]; len(p.out) != 0 || !w.out["s2"] {
-		t.Errorf("withdrawn at it %v, of all %v", p.out, w.out)
+	if p := w.names["x"]; len(p.out) != 0 || !w.book.Out["s2"] {
+		t.Errorf("withdrawn at it %v, of all %v", p.out, w.book.Out)
 	}
 	w.Listed(list.Update{Form: brain.Change, AsOfMs: 1e12, Entries: []list.Entry{{Server: "s2", Zone: "a", Size: 1}}})
 	w.run(30050, 60000)
--- a/internal/planner/share.go
+++ b/internal/planner/share.go
@@ -78,7 +78,7 @@
 			if c.now < p.inherited[server] {
 				continue
 			}
-			if delete(p.inherited, server); p.out[server] && !c.out[server] {
+			if delete(p.inherited, server); p.out[server] && !c.book.Out[server] {
 				c.withdraw(p, server, false)
 			}
 			return true
