--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -62,9 +62,9 @@
 	if err != nil {
 		return bad("seed: %q is no number of 16 hex digits", f.Seed)
 	}
-	for name, address := range map[string]string{"listen": f.Listen, "discovery": f.Discovery} {
-		if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
-			return bad("%s: %q is no address with a port", name, address)
+	for _, a := range [][2]string{{"listen", f.Listen}, {"discovery", f.Discovery}} {
+		if _, port, err := net.SplitHostPort(a[1]); err != nil || port == "" {
+			return bad("%s: %q is no address with a port", a[0], a[1])
 		}
 	}
 	if len(f.Settings) == 0 {
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -581,21 +581,17 @@
 	}
 	for g, l := range c.book.Levels {
 		like := func(n int) bool { return w.levels[n] && c.book.Levels[n] == l }
-		if like(g) && !slices.ContainsFunc(c.all()[:g], like) {
+		first := 0 // of those alike, which share a part
+		for first < g && !like(first) {
+			first++
+		}
+		if like(g) && first == g {
 			parts = append(parts, update{groups: c.names(like), level: l})
 		}
 	}
 	return parts
 }
 
-func (c *Core) all() []int {
-	all := make([]int, len(c.site.Groups))
-	for g := range all {
-		all[g] = g
-	}
-	return all
-}
-
 // names gives the names of the groups that fit, none where all do.
 func (c *Core) names(fits func(group int) bool) (names []string) {
 	for g, name := range c.site.Groups {
--- a/internal/platform/core_test.go
+++ b/internal/platform/core_test.go
@@ -240,6 +240,13 @@
 			}
 		})
 	}
+	t.Run("a stranger's message without end is not kept", func(t *testing.T) {
+		x := s.open()
+		s.Fed(x, []byte("joined x="+strings.Repeat("1", 2*firstLine)))
+		if s.pass(0); !s.ended[x] {
+			t.Errorf("%d bytes are kept", len(x.lines.part))
+		}
+	})
 	t.Run("one that says nothing, half a message, or only ping is closed in time", func(t *testing.T) {
 		a, b, d := s.open(), s.open(), s.open("ping")
 		s.Fed(b, []byte("joined id"))
--- a/internal/platform/run_test.go
+++ b/internal/platform/run_test.go
@@ -14,7 +14,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"lichenpick/internal/clock"
 )
@@ -135,7 +134,7 @@
 		d.t.Fatal(err)
 	}
 	d.t.Cleanup(func() { conn.Close() })
-	conn.SetDeadline(time.Now().Add(30 * time.Second)) // a hang fails; no verdict goes by time
+	conn.SetDeadline(clock.NewReal().Deadline(30000)) // a hang fails; no verdict goes by time
 	p := &peer{conn, d.t, bufio.NewReader(conn)}
 	p.say(say)
 	return p
