Count messages and waiting lines over a proxy's streams; own reasons, bounds together

(2) Planner.Left took a proxy's unsure lines off the queue though the platform keeps counting what waited for a broken stream: 3,400 waiting lines became 0 at once, and a rush of returns was bound on top. (3) Joined kept its host's slice, which both then changed. (4) Marks whose answer is lost stayed in the map for ever. (5) Core.Fed took its bound once a read: a message over 512 bytes behind 'joined' in the same bytes ended the stream. (6) Core.Trouble named another connection's reason. (7) Shed closed who was owed a pong. (8) Half messages were bounded a connection, not together. Lines at fault: core.go join, Fed, turnAway, Shed, send; brain.go Left, Joined, Applied. Each new story was seen to fail on the code before.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/rand"
 	"slices"
@@ -181,6 +182,7 @@
 	// As of this look: ms that sums come apart and are looked back for; the middle server; flows per second.
 	round, window, latency, drops, floor, jammed, budget, let, delivered, able float64
 	waiting, countedAt, followAt, askWait, wakeAt                              float64
+	parted                                                                     float64 // lines to who left
 
 	covers, clear   []float64 // of the last sums; latencies at hand
 	marked, number  int       // solve that a receipt was last asked for; its number
@@ -273,7 +275,7 @@
 	if zone < 0 || zone >= p.set.Zones {
 		return
 	}
-	q := &proxy{id: id, zone: zone, copy: -1, usual: usual, joined: p.now, sent: sent,
+	q := &proxy{id: id, zone: zone, copy: -1, usual: usual, joined: p.now, sent: slices.Clone(sent),
 		marks: map[int]float64{}, usage: make([][]sum, len(p.levels)), bound: make([]*table, p.parts)}
 	if p.known && len(sent) > 0 { // taken over: another heard it since then, and we hear others meanwhile
 		q.joined = math.Min(q.joined, sent[0])
@@ -281,8 +283,17 @@
 	p.byID[id], p.proxies, p.stirred = q, append(p.proxies, q), true
 }
 
-// Brings tells that a joined proxy may hold withdrawals that others ordered, and that its front will end these when
-// it is bound. Counted, as a rush of such proxies would otherwise fill the channel beyond its limit.
+// Reached tells when a joined proxy was sent messages on its streams before this one. Guards rule 5, which
+// counts by proxy: one whose stream breaks again and again would be sent as much on each as on all together.
+func (p *Planner) Reached(id int, at []float64) {
+	if q := p.byID[id]; q != nil {
+		q.sent = slices.Clone(at)
+	}
+}
+
+// Brings tells that a joined proxy may hold withdrawals that others ordered, and that its front will end
+// these when it is bound. Counted, as a rush of such proxies would otherwise fill the channel beyond its
+// limit.
 func (p *Planner) Brings(id int) {
 	if q := p.byID[id]; q != nil {
 		q.brings = true
@@ -291,7 +302,10 @@
 
 func (p *Planner) Left(id int) {
 	gone := p.byID[id]
-	delete(p.byID, id)
+	if delete(p.byID, id); gone != nil { // what waits for it stays in the channel until that has drained
+		p.queue()
+		p.parted += gone.ordered - gone.done
+	}
 	p.proxies = only(p.proxies, func(q *proxy) bool { return q != gone })
 }
 
@@ -337,7 +351,7 @@
 	p.slow = took > 2*p.set.LongestWayMs
 	if q := p.byID[id]; q != nil {
 		q.done = math.Max(q.done, q.marks[number])
-		delete(q.marks, number)
+		maps.DeleteFunc(q.marks, func(_ int, lines float64) bool { return lines <= q.done }) // also of answers lost
 	}
 }
 
@@ -912,6 +926,7 @@
 	if p.slow {
 		drained /= slowest
 	}
+	p.parted = math.Max(0, p.parted-drained)
 	p.waiting = math.Min(math.Max(0, p.waiting-drained), p.unsure())
 	p.countedAt = p.now
 	return p.waiting
@@ -919,7 +934,7 @@
 
 // unsure are lines not known to have arrived: at the most, these wait, however slow the channel is.
 func (p *Planner) unsure() float64 {
-	return total(p.proxies, func(q *proxy) float64 { return q.ordered - q.done })
+	return p.parted + total(p.proxies, func(q *proxy) float64 { return q.ordered - q.done })
 }
 
 // pay counts an order of so many lines to each of some proxies, if there is room for it.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -311,6 +311,66 @@
 			t.Error("what has arrived still counts")
 		}
 	})
+	// The platform keeps counting what waited for a stream that has ended. Streams cut while the channel was full came back
+	// at once and were bound again, on top of what waited still.
+	t.Run("lines to proxies that left fill the queue until the channel has drained them", func(t *testing.T) {
+		for _, again := range []bool{false, true} {
+			f := fleet(settings(), 6)
+			f.run(10, fine)
+			f.p.queue() // as of now
+			f.p.waiting = 3400
+			for _, q := range f.p.proxies {
+				q.ordered = q.done + 850
+			}
+			for id := range 4 {
+				if f.p.Left(id); again {
+					f.p.Joined(id, id%2, 10)
+				}
+			}
+			near(t, "waiting", f.p.queue(), 3400, 0)
+			if f.p.Joined(9, 0, 10); f.p.pay(8, f.p.proxies, ruled) {
+				t.Error("more is ordered than may wait")
+			}
+			f.now += 1500
+			f.p.Tick(f.now)
+			near(t, "left", f.p.queue(), 0, 0)
+			near(t, "unsure", f.p.unsure(), 0, 0)
+		}
+	})
+	t.Run("messages of a proxy's streams before count in its span, as its host told them", func(t *testing.T) {
+		set := settings()
+		set.MostMessages = 6
+		f := fleet(set, 8)
+		at := []float64{f.now - 9000, f.now - 400, f.now - 300, f.now - 200, f.now - 100}
+		f.p.Joined(0, 0, 10)
+		f.p.Reached(0, at)
+		clear(at) // the host's own
+		q := f.p.byID[0]
+		if f.p.pay(1, []*proxy{q}, drained) {
+			t.Error("more messages in the span than drains may use")
+		}
+		f.now += 1100
+		f.p.Tick(f.now)
+		if !f.p.pay(1, []*proxy{q}, drained) {
+			t.Error("messages that have left the span still count")
+		}
+		f.p.Joined(1, 1, 10, at...)
+		if at[0] = f.now; f.p.byID[1].sent[0] == f.now {
+			t.Error("the host's list is taken for its own")
+		}
+	})
+	t.Run("marks whose answers were lost are not kept for ever", func(t *testing.T) {
+		f := fleet(settings(), 6)
+		q := f.p.proxies[0]
+		for n := range 100 {
+			q.ordered++
+			q.marks[n] = q.ordered
+		}
+		f.p.Applied(q.id, 98, 300) // applied in order: all before are, too
+		if len(q.marks) != 1 || q.ordered-q.done != 1 {
+			t.Errorf("%d marks, %g lines unsure", len(q.marks), q.ordered-q.done)
+		}
+	})
 	t.Run("a queue full of first tables and resting servers holds back no drain", func(t *testing.T) {
 		f := fleet(settings(), 6)
 		f.p.waiting, f.p.proxies[0].ordered = 2500, f.p.proxies[0].done+2500
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -38,6 +38,8 @@
 	pongs     int     // owed
 	due       bool    // in the core's list of those owed something
 	refuse    bool    // is to be told so and closed
+	half      int     // bytes of its unended message, as counted in the core's sum
+	why       string  // that is so; its own, as another may be turned away before it is settled
 	ended     bool
 }
 
@@ -51,7 +53,6 @@
 	conn     *Conn
 	held     []*tables.Table[*proxy] // by group; nil where this stream bound none
 	wait     *pending                // decided in this look
-	sent     []float64               // times of the last messages
 	marks    []mark                  // asked for and not answered, oldest first
 	asleep   bool                    // silent for so long that the module takes it for left
 }
@@ -118,8 +119,9 @@
 	zones   map[string]int
 	groups  map[string]int
 	servers map[string]*server
-	proxies []*proxy // by id; nil where not joined
-	order   []*proxy // joined, in order of joining
+	proxies []*proxy    // by id; nil where not joined
+	sent    [][]float64 // by proxy id: times of the last messages, whichever stream they went on
+	order   []*proxy    // joined, in order of joining
 	conns   map[*Conn]bool
 	fresh   []*Conn   // unjoined, oldest first
 	sources [][]*Conn // collectors by zone
@@ -130,17 +132,17 @@
 	buf     []byte
 
 	waiting, countedAt float64 // lines that were sent off and would wait
+	half, MostHalf     int     // bytes of messages that have not ended, of all connections together; and the most
 
-	Counts  Counts
-	Trouble string       // why the last message or connection was refused; for the log
-	Doubt   func(string) // told of each message that is not heard; may be nil
+	Counts Counts
+	Doubt  func(string) // told of each message that is not heard; may be nil
 }
 
 // NewCore starts a planner at a time.
 func NewCore(site wire.Site, seed int64, now float64) *Core {
 	c := &Core{site: site, module: brain.New(site.Module, seed), book: tables.NewBook[*proxy](len(site.Groups)),
 		zones: map[string]int{}, groups: map[string]int{}, servers: map[string]*server{}, conns: map[*Conn]bool{},
-		proxies: make([]*proxy, site.Module.Proxies), sources: make([][]*Conn, len(site.Zones)), told: math.Inf(1)}
+		proxies: make([]*proxy, site.Module.Proxies), sent: make([][]float64, site.Module.Proxies), sources: make([][]*Conn, len(site.Zones)), told: math.Inf(1), MostHalf: math.MaxInt}
 	for n, z := range site.Zones {
 		c.zones[z] = n
 	}
@@ -203,6 +205,7 @@
 	k.ended = true
 	delete(c.conns, k)
 	k.lines.part = nil
+	c.count(k)
 	c.fresh = without(c.fresh, k)
 	c.owed = without(c.owed, k)
 	if k.collector > 0 {
@@ -237,29 +240,61 @@
 	if k.ended || k.refuse {
 		return
 	}
-	most := mostLine
-	if k.Unjoined() {
-		most = firstLine
+	most := func() int { // anew for each line: one read may hold a first message and a long one behind it
+		if k.Unjoined() {
+			return firstLine
+		}
+		return mostLine
 	}
 	err := k.lines.feed(data, most, func(line []byte) bool {
 		c.line(k, line)
 		return !k.ended && !k.refuse
 	})
+	if c.count(k); c.half > c.MostHalf {
+		c.shedHalf()
+	}
 	if err != nil && !k.refuse {
 		c.Counts.Unreadable++
 		c.turnAway(k, err.Error())
 	}
 }
 
+// shedHalf turns the connection away that holds most of a message that does not end. Guards the memory: each may hold a
+// message's most, but not all of them at once.
+func (c *Core) shedHalf() {
+	var most *Conn
+	for _, p := range c.order {
+		if most == nil || len(p.conn.lines.part) > len(most.lines.part) {
+			most = p.conn
+		}
+	}
+	for _, k := range slices.Concat(c.sources...) {
+		if most == nil || len(k.lines.part) > len(most.lines.part) {
+			most = k
+		}
+	}
+	if most != nil && !most.refuse { // strangers' first messages are short
+		c.Counts.Unreadable++
+		c.turnAway(most, errHalf.Error())
+	}
+}
+
 // turnAway marks a connection to be told refused and closed.
 func (c *Core) turnAway(k *Conn, why string) {
-	if c.Trouble = why; k.Unjoined() {
+	if k.Unjoined() {
 		c.Counts.Refused++
 	}
-	k.refuse = true
+	k.refuse, k.why, k.lines.part = true, why, nil
+	c.count(k)
 	c.owe(k)
 }
 
+// count keeps the sum of what is held of messages that have not ended.
+func (c *Core) count(k *Conn) {
+	c.half += len(k.lines.part) - k.half
+	k.half = len(k.lines.part)
+}
+
 func (c *Core) owe(k *Conn) {
 	if !k.due {
 		k.due, c.owed = true, append(c.owed, k)
@@ -319,8 +354,7 @@
 	p := &proxy{id: id, zone: zone, usual: usual, conn: k, held: make([]*tables.Table[*proxy], len(c.site.Groups))}
 	if old := c.proxies[id]; old != nil { // its stream has broken, even if nobody has told us
 		c.leave(old)
-		old.conn.refuse = true
-		c.owe(old.conn)
+		c.turnAway(old.conn, "replaced by a newer stream of its proxy")
 	}
 	for _, s := range c.servers {
 		setBit(s.told, id, false)
@@ -329,7 +363,8 @@
 	c.Counts.Joins++
 	c.fresh = without(c.fresh, k)
 	k.proxy, c.proxies[id], c.order = p, p, append(c.order, p)
-	if c.module.Joined(id, zone, usual); !first {
+	c.module.Joined(id, zone, usual)
+	if c.module.Reached(id, c.recent(id)); !first {
 		c.module.Brings(id)
 	}
 }
@@ -340,10 +375,17 @@
 	for _, s := range c.servers { // who knows what reached it
 		setBit(s.maybe, p.id, true)
 	}
-	c.module.Joined(p.id, p.zone, p.usual, p.sent...)
+	c.module.Joined(p.id, p.zone, p.usual, c.recent(p.id)...)
 	c.module.Brings(p.id)
 }
 
+// recent gives the times of a proxy's messages that a span may still count.
+func (c *Core) recent(id int) []float64 {
+	span := c.now - c.site.Module.MessageSpanMs
+	c.sent[id] = slices.DeleteFunc(c.sent[id], func(at float64) bool { return at <= span })
+	return c.sent[id]
+}
+
 func (c *Core) zone(w *words) int {
 	z, ok := c.zones[w.word("site")]
 	if !ok {
@@ -361,8 +403,7 @@
 	k.collector = z + 1
 	if all := c.sources[z]; len(all) == eachZone { // the one longest silent was cut off
 		old := slices.MinFunc(all, func(a, b *Conn) int { return int(math.Copysign(1, a.heard-b.heard)) })
-		old.refuse = true
-		c.owe(old)
+		c.turnAway(old, "replaced by a newer collector of its zone")
 		c.sources[z] = without(all, old)
 	}
 	c.sources[z] = append(c.sources[z], k)
@@ -469,8 +510,8 @@
 	if k == nil {
 		return false
 	}
-	c.Lost(k)
-	h.End(k, "room is needed")
+	c.turnAway(k, "room is needed")
+	c.settle(h, k)
 	return true
 }
 
@@ -490,7 +531,7 @@
 			h.Send(k, []byte(sayRefused+"\r\n"))
 		}
 		c.Lost(k)
-		h.End(k, c.Trouble)
+		h.End(k, k.why)
 	}
 }
 
@@ -537,10 +578,7 @@
 			p.marks = slices.Delete(p.marks, 0, 1)
 		}
 	}
-	if span := c.now - c.site.Module.MessageSpanMs; len(p.sent) > 0 && p.sent[0] < span {
-		p.sent = slices.DeleteFunc(p.sent, func(at float64) bool { return at < span })
-	}
-	p.sent = append(p.sent, c.now)
+	c.sent[p.id] = append(c.recent(p.id), c.now)
 	lines := 0
 	for _, u := range parts {
 		lines += u.lines()
--- a/internal/platform/core_test.go
+++ b/internal/platform/core_test.go
@@ -32,14 +32,17 @@
 // story is a host that plays a planner's connections: it keeps what each was told, and which were ended.
 type story struct {
 	*Core
-	t     testing.TB
-	at    float64 // ms since the start
-	said  map[*Conn]string
-	ended map[*Conn]bool
+	t      testing.TB
+	at     float64 // ms since the start
+	said   map[*Conn]string
+	ended  map[*Conn]bool
+	why    map[*Conn]string
+	sentTo map[int][]float64 // times of messages, by proxy
 }
 
 func begin(t testing.TB, servers int) *story {
-	s := &story{Core: NewCore(site(t), 7, origin), t: t, said: map[*Conn]string{}, ended: map[*Conn]bool{}}
+	s := &story{Core: NewCore(site(t), 7, origin), t: t, said: map[*Conn]string{}, ended: map[*Conn]bool{},
+		why: map[*Conn]string{}, sentTo: map[int][]float64{}}
 	s.Listed(brain.Restored, entries(servers, brain.Ready))
 	return s
 }
@@ -51,9 +54,15 @@
 	return list
 }
 
-func (s *story) Send(k *Conn, message []byte) { s.said[k] += string(message) }
-func (s *story) End(k *Conn, why string)      { s.ended[k] = true }
-func (s *story) Wake(at float64)              {}
+func (s *story) Send(k *Conn, message []byte) {
+	if s.said[k] += string(message); k.proxy != nil {
+		s.sentTo[k.proxy.id] = append(s.sentTo[k.proxy.id], s.at)
+	}
+}
+func (s *story) End(k *Conn, why string) {
+	s.ended[k], s.why[k] = true, why
+}
+func (s *story) Wake(at float64) {}
 
 // pass lets time go by, with looks as often as the shell would.
 func (s *story) pass(ms float64) {
@@ -185,12 +194,93 @@
 	})
 }
 
+// What ends a connection ends nothing that is owed beside it.
+func TestEndsAndWhatIsOwed(t *testing.T) {
+	t.Run("a long message behind the joining, in the same bytes, meets the bound of who has joined", func(t *testing.T) {
+		s := begin(t, 8)
+		k := s.open()
+		long := "usage id=3 lane=lookup count=1 fail=0 over=1000 extra=" + strings.Repeat("1", 2*firstLine)
+		s.Fed(k, []byte("joined id=3 site=a rps=10 new=1\r\n"+long+"\r\n"+long[:2*firstLine]))
+		s.Fed(k, []byte(long[2*firstLine:]+"\r\n"))
+		s.pass(0)
+		if s.ended[k] || s.Counts.Usage != 2 || s.Counts.Unreadable != 0 {
+			t.Errorf("ended %t, %+v", s.ended[k], s.Counts)
+		}
+	})
+	t.Run("messages to a proxy count on over its streams, however these end", func(t *testing.T) {
+		s := begin(t, 8)
+		k := s.joined(3)
+		for n := range 60 {
+			s.pass(300)
+			switch s.answer(k, 3); n % 2 {
+			case 0: // replaced
+				k = s.open("joined id=3 site=a rps=10 new=0")
+			case 1: // broken
+				s.Lost(k)
+				k = s.open("joined id=3 site=a rps=10 new=0")
+			}
+			late := slices.DeleteFunc(slices.Clone(s.sentTo[3]), func(at float64) bool { return at <= s.at-s.site.Module.MessageSpanMs })
+			if len(late) > s.site.Module.MostMessages {
+				t.Fatalf("%d messages in a span", len(late))
+			}
+		}
+		if n := s.Counts.Messages; n < 20 {
+			t.Errorf("%d messages; the streams were given nothing", n)
+		}
+	})
+	t.Run("each connection is ended for its own reason", func(t *testing.T) {
+		s := begin(t, 8)
+		old := s.joined(3)
+		x := s.open()
+		s.Fed(x, []byte("joined id=3 site=a rps=10 new=0\r\n")) // two at one instant, settled in one look
+		y := s.open()
+		s.Fed(y, []byte("GET / HTTP/1.1\r\n"))
+		s.pass(0)
+		if !strings.Contains(s.why[old], "newer stream") || s.why[y] != errUnreadable.Error() {
+			t.Errorf("%q and %q", s.why[old], s.why[y])
+		}
+	})
+	t.Run("who is closed for room has its pong first", func(t *testing.T) {
+		s := begin(t, 8)
+		k := s.open()
+		s.Fed(k, []byte("ping\r\n"))
+		if !s.Shed(s) || s.said[k] != "pong\r\nrefused\r\n" || !s.ended[k] {
+			t.Errorf("ended %t, told %q", s.ended[k], s.said[k])
+		}
+		if s.pass(0); s.said[k] != "pong\r\nrefused\r\n" {
+			t.Errorf("told %q", s.said[k])
+		}
+	})
+	t.Run("messages that do not end fill their room together, and the longest goes first", func(t *testing.T) {
+		s := begin(t, 8)
+		s.MostHalf = 1 << 20
+		var all []*Conn
+		for id := range 4 {
+			k := s.joined(id)
+			s.Fed(k, []byte("usage id=0 x="+strings.Repeat("1", (id+1)<<17)))
+			all = append(all, k)
+		}
+		s.pass(0)
+		if s.ended[all[0]] || s.ended[all[1]] || s.ended[all[2]] || !s.ended[all[3]] || s.half > s.MostHalf || len(s.order) != 3 {
+			t.Errorf("%t %t %t %t, %d bytes held", s.ended[all[0]], s.ended[all[1]], s.ended[all[2]], s.ended[all[3]], s.half)
+		}
+		for _, k := range all {
+			s.Fed(k, []byte("\r\n"))
+			s.Lost(k)
+		}
+		if s.half != 0 {
+			t.Errorf("%d bytes held of nobody", s.half)
+		}
+	})
+}
+
 // A planner that starts anew meets all proxies at once, with tables and withdrawals that others ordered. Each binding then
 // names each server twice, which the module did not count.
 func TestARushOfProxiesFitsTheChannel(t *testing.T) {
 	set := site(t)
 	set.Module.Proxies = 150
-	s := &story{Core: NewCore(set, 7, origin), t: t, said: map[*Conn]string{}, ended: map[*Conn]bool{}}
+	s := &story{Core: NewCore(set, 7, origin), t: t, said: map[*Conn]string{}, ended: map[*Conn]bool{},
+		why: map[*Conn]string{}, sentTo: map[int][]float64{}}
 	s.Listed(brain.Restored, entries(30, brain.Ready))
 	conns := make([]*Conn, 150)
 	for id := range conns {
@@ -306,6 +396,8 @@
 	})
 }
 
+func asJoined() int { return mostLine }
+
 func TestSplitter(t *testing.T) {
 	text := "joined id=3 site=a rps=10 new=1\r\nping\r\nusage id=3 lane=lookup count=1 fail=0 over=1000.0\r\n"
 	want := strings.Split(strings.TrimSuffix(text, "\r\n"), "\r\n")
@@ -313,7 +405,7 @@
 		var s splitter
 		var got []string
 		for _, piece := range []string{text[:cut], text[cut:]} {
-			if err := s.feed([]byte(piece), mostLine, func(l []byte) bool { got = append(got, string(l)); return true }); err != nil {
+			if err := s.feed([]byte(piece), asJoined, func(l []byte) bool { got = append(got, string(l)); return true }); err != nil {
 				t.Fatalf("cut at %d: %v", cut, err)
 			}
 		}
@@ -325,9 +417,9 @@
 		for _, more := range []int{0, 1} {
 			var s splitter
 			line := sayHeard + " x=" + strings.Repeat("1", mostLine-len(sayHeard)-3+more) + "\r\n"
-			err := s.feed([]byte(line[:len(line)/2]), mostLine, func([]byte) bool { return true })
+			err := s.feed([]byte(line[:len(line)/2]), asJoined, func([]byte) bool { return true })
 			if err == nil {
-				err = s.feed([]byte(line[len(line)/2:]), mostLine, func([]byte) bool { return true })
+				err = s.feed([]byte(line[len(line)/2:]), asJoined, func([]byte) bool { return true })
 			}
 			if (err == errLong) != (more == 1) || len(s.part) > mostLine {
 				t.Errorf("%d more: %v", more, err)
--- a/internal/platform/line.go
+++ b/internal/platform/line.go
@@ -36,14 +36,15 @@
 var (
 	errLong       = errors.New("a message longer than allowed")
 	errUnreadable = errors.New("bytes that are no message")
+	errHalf       = errors.New("the longest of messages that do not end, which together fill their room")
 )
 
 // splitter cuts a connection's bytes into lines, however they come. It holds the part of a line alone.
 type splitter struct{ part []byte }
 
 // feed gives each whole line, without its end, to a function until that says stop. The error is of what can't be read:
-// control bytes, a first word that is no kind, a line of over most bytes.
-func (s *splitter) feed(data []byte, most int, line func([]byte) bool) error {
+// control bytes, a first word that is no kind, a line of more bytes than the most that holds when it comes.
+func (s *splitter) feed(data []byte, most func() int, line func([]byte) bool) error {
 	for len(data) > 0 {
 		end := bytes.IndexByte(data, '\n')
 		piece := data
@@ -51,7 +52,7 @@
 			piece = data[:end+1]
 		}
 		data = data[len(piece):]
-		if len(s.part)+len(piece) > most+2 {
+		if len(s.part)+len(piece) > most()+2 {
 			return errLong
 		}
 		whole, seen := piece, len(s.part)
