No proxy is taken for left while the channel is late; every line ordered is counted

So what it ordered in 20 s still waited, and proxies whose tables had not gone off were taken for left after 6 s, woken by their usage, and bound again on top, their lines no longer counted. Mend: silence is shown by a later mark that another proxy answered 6 s ago, or by a time in which 8 times slower a channel would be empty; the module counts these lines, and keeps counting lines to proxies that left. The check of a silent proxy was changed: it went by time alone, which was the fault; three stories stand for it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -108,13 +108,14 @@
 
 type proxy struct {
 	id, zone, copy int
-	usual, joined  float64         // flows per second by its own word; when its stream came up
-	usage          [][]sum         // by traffic group
-	bound          []*table        // by part
-	sent           []float64       // times of the last messages
-	ordered, done  float64         // lines ordered to it, and known to have reached it
-	marks          map[int]float64 // lines ordered up to each receipt asked for
-	brings         bool            // withdrawals of others; a table then names each server twice
+	usual, joined  float64          // flows per second by its own word; when its stream came up
+	usage          [][]sum          // by traffic group
+	bound          []*table         // by part
+	sent           []float64        // times of the last messages
+	ordered, done  float64          // lines ordered to it, and known to have reached it
+	marks          map[int]float64  // lines ordered up to each receipt asked for
+	shut           map[*server]bool // told by us to shut it out
+	brings         bool             // withdrawals of others; a table then names each server twice
 }
 
 // client is the paper's i: the proxies of one zone, for the traffic groups that may go to the same servers.
@@ -276,21 +277,14 @@
 		return
 	}
 	q := &proxy{id: id, zone: zone, copy: -1, usual: usual, joined: p.now, sent: slices.Clone(sent),
-		marks: map[int]float64{}, usage: make([][]sum, len(p.levels)), bound: make([]*table, p.parts)}
+		marks: map[int]float64{}, shut: map[*server]bool{},
+		usage: make([][]sum, len(p.levels)), bound: make([]*table, p.parts)}
 	if p.known && len(sent) > 0 { // taken over: another heard it since then, and we hear others meanwhile
 		q.joined = math.Min(q.joined, sent[0])
 	}
 	p.byID[id], p.proxies, p.stirred = q, append(p.proxies, q), true
 }
 
-// Reached tells when a joined proxy was sent messages on its streams before this one. Guards rule 5, which
-// counts by proxy: one whose stream breaks again and again would be sent as much on each as on all together.
-func (p *Planner) Reached(id int, at []float64) {
-	if q := p.byID[id]; q != nil {
-		q.sent = slices.Clone(at)
-	}
-}
-
 // Brings tells that a joined proxy may hold withdrawals that others ordered, and that its front will end
 // these when it is bound. Counted, as a rush of such proxies would otherwise fill the channel beyond its
 // limit.
@@ -965,15 +959,14 @@
 func (q *proxy) reached(now float64) bool { return len(q.sent) > 0 && q.sent[len(q.sent)-1] == now }
 
 // mask shuts out a server that drains, is gone or was judged bad, or lets one back once no table holds more
-// of it than its ramp allows. It concerns the proxies whose tables hold it; others are bound at once.
+// of it than its ramp allows. It concerns proxies whose tables hold it or are not ours, and who were told so.
 func (p *Planner) mask(h Host, s *server, out bool) bool {
 	if out && p.solves > 0 && !slices.ContainsFunc(s.rows, (*row).held) {
 		return false // as below, but there may be many
 	}
 	to := only(p.proxies, func(q *proxy) bool {
-		return slices.ContainsFunc(q.bound, func(t *table) bool {
-			return t == nil && p.solves == 0 ||
-				slices.ContainsFunc(s.rows, func(r *row) bool { return r.table == t && r.held() })
+		return !out && q.shut[s] || out && slices.ContainsFunc(q.bound, func(t *table) bool {
+			return t == nil || slices.ContainsFunc(s.rows, func(r *row) bool { return r.table == t && r.held() })
 		})
 	})
 	if out && (len(to) == 0 || s.State == Ready && !slices.ContainsFunc(s.rows, (*row).held)) ||
@@ -987,6 +980,11 @@
 		return false
 	}
 	s.out = out
+	for _, q := range to {
+		if q.shut[s] = out; !out {
+			delete(q.shut, s)
+		}
+	}
 	h.Withdraw(s.Server, out)
 	return true
 }
@@ -1027,8 +1025,12 @@
 }
 
 func (p *Planner) send(h Host, r *row, urgency int) bool {
-	t := r.table
-	if r.want == r.sent || len(t.users) > 0 && !p.pay(1, t.users, urgency) {
+	t, lines := r.table, 1.0
+	if r.sent == 0 { // where another planner may have withdrawn it, the front ends that
+		lines += total(t.users, func(q *proxy) float64 { return map[bool]float64{true: 1}[q.brings] }) /
+			math.Max(float64(len(t.users)), 1)
+	}
+	if r.want == r.sent || len(t.users) > 0 && !p.pay(lines, t.users, urgency) {
 		return false
 	}
 	if r.sent == 0 {
@@ -1058,6 +1060,9 @@
 			return false
 		}
 		q.bound[k], t.users = t, append(t.users, q)
+		for _, r := range out {
+			q.shut[r.server] = true
+		}
 		h.Bind(q.id, t.number, c.groups)
 		return true
 	})
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -17,7 +17,9 @@
 
 const (
 	joinMs     = 1500.0 // ms in which a connection must have joined; 1 s is due to it, 3 s is the most
-	quietMs    = 6000.0 // ms that a mark may go unanswered on a stream that says nothing else; then it is taken for dead
+	quietMs    = 6000.0 // ms without a word after which a stream that owes an answer is taken for dead
+	passesMs   = 200.0  // ms between notes of how far the channel has come
+	slowest    = 8.0    // times slower that the channel may be on some days, by the bench's page
 	forgetMs   = 9e5    // ms that a gone server is known, longer than the module remembers it
 	eachZone   = 3      // collectors of a zone; an old one that was cut off may seem open beside its successor
 	mostPongs  = 16     // answers owed to one connection; who asks faster than it reads gets no more
@@ -39,6 +41,7 @@
 	due       bool    // in the core's list of those owed something
 	refuse    bool    // is to be told so and closed
 	half      int     // bytes of its unended message, as counted in the core's sum
+	silent    bool    // and is told nothing of it: it asked for nothing more
 	why       string  // that is so; its own, as another may be turned away before it is settled
 	ended     bool
 }
@@ -53,6 +56,7 @@
 	conn     *Conn
 	held     []*tables.Table[*proxy] // by group; nil where this stream bound none
 	wait     *pending                // decided in this look
+	sent     []float64               // times of the last messages on this stream: rule 5 counts from the joining
 	marks    []mark                  // asked for and not answered, oldest first
 	asleep   bool                    // silent for so long that the module takes it for left
 }
@@ -60,6 +64,13 @@
 type mark struct {
 	number int
 	at     float64
+	place  uint64 // of its message among all that went into the channel
+}
+
+// pass notes that the channel had come as far as a message, as its mark was answered.
+type pass struct {
+	at    float64
+	place uint64
 }
 
 // pending is what a look has decided for a proxy. What tables and levels hold is read when the message is written.
@@ -119,9 +130,8 @@
 	zones   map[string]int
 	groups  map[string]int
 	servers map[string]*server
-	proxies []*proxy    // by id; nil where not joined
-	sent    [][]float64 // by proxy id: times of the last messages, whichever stream they went on
-	order   []*proxy    // joined, in order of joining
+	proxies []*proxy // by id; nil where not joined
+	order   []*proxy // joined, in order of joining
 	conns   map[*Conn]bool
 	fresh   []*Conn   // unjoined, oldest first
 	sources [][]*Conn // collectors by zone
@@ -131,6 +141,7 @@
 	told    float64
 	buf     []byte
 
+	passes             []pass  // the last one of quietMs ago or more, and those since
 	waiting, countedAt float64 // lines that were sent off and would wait
 	half, MostHalf     int     // bytes of messages that have not ended, of all connections together; and the most
 
@@ -142,7 +153,7 @@
 func NewCore(site wire.Site, seed int64, now float64) *Core {
 	c := &Core{site: site, module: brain.New(site.Module, seed), book: tables.NewBook[*proxy](len(site.Groups)),
 		zones: map[string]int{}, groups: map[string]int{}, servers: map[string]*server{}, conns: map[*Conn]bool{},
-		proxies: make([]*proxy, site.Module.Proxies), sent: make([][]float64, site.Module.Proxies), sources: make([][]*Conn, len(site.Zones)), told: math.Inf(1), MostHalf: math.MaxInt}
+		proxies: make([]*proxy, site.Module.Proxies), sources: make([][]*Conn, len(site.Zones)), told: math.Inf(1), MostHalf: math.MaxInt}
 	for n, z := range site.Zones {
 		c.zones[z] = n
 	}
@@ -221,6 +232,30 @@
 	return slices.DeleteFunc(list, func(y T) bool { return y == x })
 }
 
+// Finished takes in that a connection's peer says no more, though it may still read: it is ended once it has its pongs.
+func (c *Core) Finished(k *Conn) {
+	if k.ended || k.refuse {
+		return
+	}
+	if p := k.proxy; p != nil && c.proxies[p.id] == p {
+		c.Counts.Lost++
+		c.leave(p)
+	}
+	k.silent = true
+	c.turnAway(k, "ended by its peer")
+}
+
+// Close ends all connections; each is given what it is owed first.
+func (c *Core) Close(h Host) {
+	for k := range c.conns {
+		if !k.refuse {
+			c.turnAway(k, "the planner ends")
+		}
+		c.settle(h, k)
+	}
+	c.owed = nil
+}
+
 // leave ends a proxy's part in all that is kept.
 func (c *Core) leave(p *proxy) {
 	c.rest(p)
@@ -281,7 +316,7 @@
 
 // turnAway marks a connection to be told refused and closed.
 func (c *Core) turnAway(k *Conn, why string) {
-	if k.Unjoined() {
+	if k.Unjoined() && !k.silent {
 		c.Counts.Refused++
 	}
 	k.refuse, k.why, k.lines.part = true, why, nil
@@ -363,8 +398,7 @@
 	c.Counts.Joins++
 	c.fresh = without(c.fresh, k)
 	k.proxy, c.proxies[id], c.order = p, p, append(c.order, p)
-	c.module.Joined(id, zone, usual)
-	if c.module.Reached(id, c.recent(id)); !first {
+	if c.module.Joined(id, zone, usual); !first {
 		c.module.Brings(id)
 	}
 }
@@ -375,17 +409,10 @@
 	for _, s := range c.servers { // who knows what reached it
 		setBit(s.maybe, p.id, true)
 	}
-	c.module.Joined(p.id, p.zone, p.usual, c.recent(p.id)...)
+	c.module.Joined(p.id, p.zone, p.usual, p.sent...)
 	c.module.Brings(p.id)
 }
 
-// recent gives the times of a proxy's messages that a span may still count.
-func (c *Core) recent(id int) []float64 {
-	span := c.now - c.site.Module.MessageSpanMs
-	c.sent[id] = slices.DeleteFunc(c.sent[id], func(at float64) bool { return at <= span })
-	return c.sent[id]
-}
-
 func (c *Core) zone(w *words) int {
 	z, ok := c.zones[w.word("site")]
 	if !ok {
@@ -456,6 +483,7 @@
 	if w.err != nil {
 		return
 	}
+	c.passed(p.marks[n].place)
 	p.marks = slices.Delete(p.marks, 0, n+1) // all before it were applied
 	c.Counts.Marks++
 	c.module.Applied(id, number, took)
@@ -510,7 +538,9 @@
 	if k == nil {
 		return false
 	}
-	c.turnAway(k, "room is needed")
+	if !k.refuse {
+		c.turnAway(k, "room is needed")
+	}
 	c.settle(h, k)
 	return true
 }
@@ -527,7 +557,7 @@
 		h.Send(k, c.buf)
 	}
 	if k.refuse && !k.ended {
-		if k.Unjoined() {
+		if k.Unjoined() && !k.silent {
 			h.Send(k, []byte(sayRefused+"\r\n"))
 		}
 		c.Lost(k)
@@ -535,10 +565,31 @@
 	}
 }
 
-// silent finds a proxy that answers no mark and says nothing else: it is taken for left until it speaks again.
+// passed takes down how far the channel has come.
+func (c *Core) passed(place uint64) {
+	if n := len(c.passes); n == 0 || place > c.passes[n-1].place && c.now >= c.passes[n-1].at+passesMs {
+		c.passes = append(c.passes, pass{c.now, place})
+	}
+}
+
+// silent finds a proxy that answers no mark and says nothing else: it is taken for left until it speaks again. Time
+// alone shows nothing, as a message may wait in the channel for longer than any time that a proxy needs: in a fleet that
+// joined at once, and with a slow channel, proxies were taken for left whose first table had not gone off, and when they
+// spoke were sent it again on top. A later mark that another proxy has answered shows that the channel is past this one's.
+// Where nobody answers, what waits bounds the time.
 func (c *Core) silent() bool {
+	m := c.site.Module
+	longest := quietMs + slowest*m.MostWaiting/m.ChannelRate*1000
+	for len(c.passes) > 1 && c.passes[1].at <= c.now-quietMs {
+		c.passes = c.passes[1:]
+	}
 	for _, p := range c.order {
-		if !p.asleep && len(p.marks) > 0 && c.now-math.Max(p.marks[0].at, p.conn.heard) > quietMs {
+		if p.asleep || len(p.marks) == 0 || c.now-p.conn.heard <= quietMs {
+			continue
+		}
+		first := p.marks[0]
+		past := len(c.passes) > 0 && c.passes[0].at <= c.now-quietMs && c.passes[0].place > first.place
+		if past || c.now-first.at > longest {
 			c.rest(p)
 			p.asleep = true
 			c.Counts.Asleep++
@@ -574,11 +625,14 @@
 		}
 		last := &parts[len(parts)-1]
 		last.stamp, last.stamped = w.mark, true
-		if p.marks = append(p.marks, mark{w.mark, c.now}); len(p.marks) > mostMarks {
+		if p.marks = append(p.marks, mark{w.mark, c.now, c.Counts.Messages}); len(p.marks) > mostMarks {
 			p.marks = slices.Delete(p.marks, 0, 1)
 		}
 	}
-	c.sent[p.id] = append(c.recent(p.id), c.now)
+	if span := c.now - c.site.Module.MessageSpanMs; len(p.sent) > 0 && p.sent[0] < span {
+		p.sent = slices.DeleteFunc(p.sent, func(at float64) bool { return at < span })
+	}
+	p.sent = append(p.sent, c.now)
 	lines := 0
 	for _, u := range parts {
 		lines += u.lines()
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -12,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"lichenpick/brain"
@@ -20,6 +20,7 @@
 
 const (
 	silentMs  = 2600.0  // ms without a byte after which the agent is asked anew; it says something every 2 s
+	wholeMs   = 5000.0  // ms that an answer, or a line of a watch, may take from its asking to its end
 	dialMs    = 1000.0  // ms; the agent is on the same machine
 	againMs   = 50.0    // ms; first wait before asking again, doubled each time
 	againMost = 500.0   // ms; what is to be told counts as told after 6 s
@@ -34,6 +35,7 @@
 	log     *slog.Logger
 	deliver func(brain.ListForm, []brain.Entry)
 	follow  follower
+	since   atomic.Int64 // µs of Mono: when what is being read was asked for, or the last line ended
 }
 
 // run follows the agent at an address until the context ends.
@@ -46,7 +48,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return watched{conn, a.clock}, nil
+			return watched{conn, a}, nil
 		}}}
 	wait := againMs
 	for said := ""; ctx.Err() == nil; {
@@ -69,10 +71,13 @@
 func (a *agent) ask(ctx context.Context, client *http.Client, address string, alive func()) error {
 	if a.follow.whole {
 		if err := a.get(ctx, client, "http://"+address+"/catalog/members", func(body *bufio.Reader) error {
-			raw, err := io.ReadAll(io.LimitReader(body, mostList))
+			raw, err := io.ReadAll(io.LimitReader(body, mostList+1))
 			if err != nil {
 				return err
 			}
+			if len(raw) > mostList {
+				return errLong
+			}
 			a.follow.version = 0 // another discovery may count anew
 			return a.told(raw)
 		}); err != nil {
@@ -87,6 +92,7 @@
 			if err != nil {
 				return err
 			}
+			a.begun()
 			if err := a.told(line); err != nil {
 				return err
 			}
@@ -112,6 +118,7 @@
 }
 
 func (a *agent) get(ctx context.Context, client *http.Client, path string, read func(*bufio.Reader) error) error {
+	a.begun()
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return err
@@ -127,8 +134,6 @@
 	return read(bufio.NewReader(r.Body))
 }
 
-var errLine = errors.New("a line longer than a list can be")
-
 // readLine reads a line of a watch, whole.
 func readLine(r *bufio.Reader) (line []byte, err error) {
 	for {
@@ -137,7 +142,7 @@
 			return line, nil
 		}
 		if len(line) > mostList {
-			return nil, errLine
+			return nil, errLong
 		}
 		if err != bufio.ErrBufferFull {
 			return nil, err
@@ -145,13 +150,18 @@
 	}
 }
 
-// watched is a connection on which no read waits for longer than a silence may last.
+// begun takes down that the next answer or line is waited for from now on.
+func (a *agent) begun() { a.since.Store(int64(1000 * a.clock.Mono())) }
+
+// watched is a connection on which no read waits for longer than a silence may last, and that ends with an answer or a
+// line that comes byte by byte without end: bytes alone are no sign of life.
 type watched struct {
 	net.Conn
-	clock clock.Clock
+	agent *agent
 }
 
 func (w watched) Read(b []byte) (int, error) {
-	w.SetReadDeadline(w.clock.Deadline(silentMs))
+	left := wholeMs + float64(w.agent.since.Load())/1000 - w.agent.clock.Mono()
+	w.SetReadDeadline(w.agent.clock.Deadline(math.Min(silentMs, left)))
 	return w.Conn.Read(b)
 }
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"time"
 
@@ -21,13 +20,18 @@
 const (
 	readBytes  = 2048      // bytes of a connection's buffer; messages are short
 	mostUnsent = 256 << 10 // bytes that a proxy may leave unread here; far more than its messages of a minute
-	spare      = 24        // descriptors that are not connections': list, log, the runtime's
+	unsentPart = 8         // all of them together may leave unread this part of the memory
+	halfPart   = 16        // and messages that do not end may fill this one
+	memoryMB   = 1024      // taken where the configuration states no limit
+	spare      = 24        // descriptors that are not connections': list, log, the runtime's, and lingers
+	lingers    = 8         // connections that may be open for their last words beside those that fit
 	countsMs   = 10000.0   // ms between lines of counts in the log
 	traceMs    = 1000.0    // ms between traces
 	rereadMs   = 200.0     // ms until a configuration that could not be used is read again
 	mostReads  = 5         // times that this is done after a SIGHUP
 	panicMs    = 100.0     // ms of rest after a fault, so that one that lasts does not spin
-	lastMs     = 500.0     // ms that the last words to a connection may take
+	mostFaults = 10        // looks in a row that end in a fault, until the program does
+	lastMs     = 300.0     // ms that the last words to a connection may take; SIGKILL follows SIGTERM after 700
 	acceptMs   = 5.0       // ms of rest after a failed accept
 )
 
@@ -52,6 +56,12 @@
 	due    float64       // when to decide next without news
 	origin float64       // Unix ms at Mono 0
 	room   int           // connections that fit
+	tasks  sync.WaitGroup
+	faults int // looks in a row
+
+	streams            map[*stream]bool // whose descriptors are open
+	lingering          []*stream        // of these, ended by us with something still to be written; oldest first
+	unsent, mostUnsent int              // bytes that wait for all of them
 }
 
 // stream is a connection with what waits to be written to it. Its fields are under the shell's lock.
@@ -59,21 +69,21 @@
 	net.Conn
 	conn    Conn
 	unsent  []byte
+	out     int  // bytes that are being written
 	writing bool // a goroutine is at it
 	closing bool // when all is written
 }
 
-// Run serves until the context ends.
+// Run serves until the context ends, and returns when nothing of it runs any more. What is owed then is written first.
 func Run(ctx context.Context, o Options) error {
-	s := &shell{Options: o, stir: make(chan struct{}, 1), room: 1 << 20,
-		origin: float64(o.Clock.Wall().UnixMicro())/1000 - o.Clock.Mono()}
-	if o.Config.Sockets > 0 {
-		s.room = max(o.Config.Sockets-spare, 8)
-	}
-	s.core = NewCore(o.Config.Site, o.Config.Seed, s.now())
-	s.core.Doubt = func(what string) { s.Log.Debug("message not heard", "why", what) }
-	s.core.Listed(brain.Restored, o.Config.Known)
+	s := newShell(o)
 	l, err := o.Network.Listen(ctx, o.Config.Listen)
+	if ctx.Err() != nil { // told to end before it began: no failure
+		if err == nil {
+			l.Close()
+		}
+		return nil
+	}
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
@@ -89,20 +99,52 @@
 		return nil
 	})
 	g.Go(func() error { s.follow(ctx); return nil })
-	g.Go(func() error { s.decide(ctx); return nil })
+	g.Go(func() error { return s.decide(ctx) })
 	g.Go(func() error { s.accept(ctx, l); return nil })
 	err = g.Wait()
+	s.end()
+	return err
+}
+
+func newShell(o Options) *shell {
+	memory := o.Config.MemoryMB
+	if memory <= 0 {
+		memory = memoryMB
+	}
+	s := &shell{Options: o, stir: make(chan struct{}, 1), room: 1 << 20, streams: map[*stream]bool{},
+		mostUnsent: max(memory<<20/unsentPart, mostUnsent),
+		origin:     float64(o.Clock.Wall().UnixMicro())/1000 - o.Clock.Mono()}
+	if o.Config.Sockets > 0 {
+		s.room = max(o.Config.Sockets-spare, 8)
+	}
+	s.core = NewCore(o.Config.Site, o.Config.Seed, s.now())
+	s.core.MostHalf = max(memory<<20/halfPart, mostLine)
+	s.core.Doubt = func(what string) { s.Log.Debug("message not heard", "why", what) }
+	s.core.Listed(brain.Restored, o.Config.Known)
+	return s
+}
+
+// end gives each connection what it is owed, closes it, and waits for all that reads and writes.
+func (s *shell) end() {
+	s.with(func() { s.core.Close(s) })
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for k := range s.core.conns {
-		k.Out.(*stream).Close()
+	for t := range s.streams {
+		if t.closing = true; !t.writing { // a fault may have kept it from the core's end
+			s.drop(t)
+		} else {
+			t.SetWriteDeadline(s.Clock.Deadline(lastMs))
+		}
 	}
-	return err
+	s.mu.Unlock()
+	s.tasks.Wait()
 }
 
 func (s *shell) now() float64 { return s.origin + s.Clock.Mono() }
 
-// with calls the core with its lock held. A fault in it is logged and costs what was at hand.
+// with calls the core with its lock held. A fault in it is logged and costs what was at hand: an input that brings one
+// is lost with its connection, a decision is not made again, as the module takes it off its list before it acts. What is
+// half changed by then is one proxy's or one server's, and the next solve writes all tables anew. Faults that come at
+// every look leave a planner that answers and orders nothing: decide then ends the program, to be started from nothing.
 func (s *shell) with(call func()) (ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -126,7 +168,7 @@
 
 // decide carries out what the core decides, after news and when it asked for. What comes within the settings' period
 // is looked at together.
-func (s *shell) decide(ctx context.Context) {
+func (s *shell) decide(ctx context.Context) error {
 	counts, traced := s.now(), s.now()
 	for ctx.Err() == nil {
 		ok := s.with(func() {
@@ -143,11 +185,13 @@
 			}
 		})
 		rest := s.Config.Site.PeriodMs
-		if !ok {
-			rest = panicMs
+		if s.faults++; ok {
+			s.faults = 0
+		} else if rest = panicMs; s.faults >= mostFaults {
+			return fmt.Errorf("%d looks in a row ended in a fault; nothing is ordered any more", s.faults)
 		}
 		if clock.Sleep(ctx, s.Clock, rest) != nil {
-			return
+			break
 		}
 		s.mu.Lock()
 		wait := s.due - s.now()
@@ -160,6 +204,7 @@
 		}
 		stop()
 	}
+	return nil
 }
 
 // follow keeps to discovery, and to its new address when the configuration is replaced.
@@ -214,46 +259,66 @@
 		}
 		t := &stream{Conn: conn}
 		t.conn.Out = t
-		taken := s.with(func() {
-			for s.core.Open() >= s.room && s.core.Shed(s) {
+		taken := false
+		s.with(func() {
+			for s.full() && s.core.Shed(s) {
 			}
-			if s.core.Open() < s.room {
+			if !s.full() {
+				taken, s.streams[t] = true, true
 				s.core.Opened(&t.conn)
-			} else {
-				t.closing = true
 			}
 		})
-		if !taken || t.closing {
+		if !taken {
 			conn.Close()
 			continue
 		}
-		go s.read(t)
+		s.tasks.Go(func() { s.read(t) })
 	}
 }
 
-// read hands the core what comes until the connection ends.
+// full says whether there is no room for one more connection. Those that linger give way first.
+func (s *shell) full() bool {
+	for len(s.lingering) > lingers {
+		s.drop(s.lingering[0])
+	}
+	return len(s.streams)-len(s.lingering) >= s.room
+}
+
+// drop closes a connection, whatever waits for it. The lock is held.
+func (s *shell) drop(t *stream) {
+	if s.streams[t] {
+		delete(s.streams, t)
+		s.lingering = without(s.lingering, t)
+		s.unsent -= len(t.unsent) + t.out
+		t.unsent, t.out, t.closing = nil, 0, true
+		t.Close()
+	}
+}
+
+// read hands the core what comes until the connection ends. What comes after the core has ended it is read and not heard:
+// with bytes unread a close is a reset, which takes the last words back.
 func (s *shell) read(t *stream) {
-	defer t.Close()
 	buf := make([]byte, readBytes)
 	for {
 		n, err := t.Read(buf)
-		ended := false
 		ok := s.with(func() {
 			if n > 0 {
 				s.core.Fed(&t.conn, buf[:n])
 			}
-			if err != nil {
+			if errors.Is(err, io.EOF) {
+				s.core.Finished(&t.conn)
+			} else if err != nil {
 				s.core.Lost(&t.conn)
+				s.drop(t)
 			}
-			ended = t.conn.ended
 		})
-		s.stirred()
 		if !ok { // its bytes brought the core to a fault
-			s.with(func() { s.core.Lost(&t.conn) })
+			s.with(func() { s.drop(t); s.core.Lost(&t.conn) })
 			return
 		}
-		if err != nil || ended {
-			if err != nil && !errors.Is(err, io.EOF) {
+		s.stirred()
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
 				s.Log.Debug("connection", "ended", err)
 			}
 			return
@@ -268,36 +333,54 @@
 	if t.closing {
 		return
 	}
-	if len(t.unsent)+len(message) > mostUnsent {
-		s.core.Lost(c)
-		s.End(c, "reads nothing")
+	t.unsent = append(t.unsent, message...)
+	if s.unsent += len(message); len(t.unsent)+t.out > mostUnsent {
+		s.unread(t)
 		return
 	}
-	t.unsent = append(t.unsent, message...)
-	if !t.writing {
+	for s.unsent > s.mostUnsent { // each within its own bound, but too much together
+		var most *stream
+		for x := range s.streams {
+			if most == nil || len(x.unsent)+x.out > len(most.unsent)+most.out {
+				most = x
+			}
+		}
+		s.unread(most)
+	}
+	if !t.closing && !t.writing {
 		t.writing = true
-		go s.write(t)
+		s.tasks.Go(func() { s.write(t) })
 	}
 }
 
+// unread ends a connection that leaves unread what it is sent.
+func (s *shell) unread(t *stream) {
+	s.Log.Debug("connection ended here", "why", "reads nothing", "joined", !t.conn.Unjoined())
+	s.core.Lost(&t.conn)
+	s.drop(t)
+}
+
 // write writes all that waits for a connection, and then ends it where that is asked for.
 func (s *shell) write(t *stream) {
 	for {
 		s.mu.Lock()
-		out := slices.Clip(t.unsent)
-		t.unsent = nil
+		s.unsent -= t.out
+		out := t.unsent
+		t.unsent, t.out = nil, len(out)
 		if len(out) == 0 {
-			t.writing = false
-			closing := t.closing
-			s.mu.Unlock()
-			if closing {
-				t.Close()
+			if t.writing = false; t.closing {
+				s.drop(t)
 			}
+			s.mu.Unlock()
 			return
 		}
 		s.mu.Unlock()
 		if _, err := t.Write(out); err != nil {
-			t.Close() // the reader tells the core
+			s.mu.Lock()
+			t.writing = false
+			s.drop(t) // the reader tells the core
+			s.mu.Unlock()
+			return
 		}
 	}
 }
@@ -306,9 +389,10 @@
 	t := c.Out.(*stream)
 	s.Log.Debug("connection ended here", "why", why, "joined", !c.Unjoined())
 	if t.closing = true; !t.writing {
-		t.Close()
+		s.drop(t)
 		return
 	}
+	s.lingering = append(s.lingering, t)
 	t.SetWriteDeadline(s.Clock.Deadline(lastMs)) // a peer that reads nothing does not keep it open
 }
 
