A withdrawal's end goes to a proxy with the line that brings the server back

So they are told only where their table holds the server; core.go Withdraw wrote to all who had ever been told.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -260,6 +260,9 @@
 		keep := s.out || !p.spent(s)
 		if !keep {
 			delete(p.byName, s.Server)
+			for _, q := range p.proxies {
+				delete(q.shut, s)
+			}
 		}
 		return keep
 	})
@@ -959,13 +962,13 @@
 func (q *proxy) reached(now float64) bool { return len(q.sent) > 0 && q.sent[len(q.sent)-1] == now }
 
 // mask shuts out a server that drains, is gone or was judged bad, or lets one back once no table holds more
-// of it than its ramp allows. It concerns proxies whose tables hold it or are not ours, and who were told so.
+// of it than its ramp allows. It concerns proxies whose tables hold it or are not ours; else its line tells.
 func (p *Planner) mask(h Host, s *server, out bool) bool {
 	if out && p.solves > 0 && !slices.ContainsFunc(s.rows, (*row).held) {
 		return false // as below, but there may be many
 	}
 	to := only(p.proxies, func(q *proxy) bool {
-		return !out && q.shut[s] || out && slices.ContainsFunc(q.bound, func(t *table) bool {
+		return (out || q.shut[s]) && slices.ContainsFunc(q.bound, func(t *table) bool {
 			return t == nil || slices.ContainsFunc(s.rows, func(r *row) bool { return r.table == t && r.held() })
 		})
 	})
@@ -981,9 +984,7 @@
 	}
 	s.out = out
 	for _, q := range to {
-		if q.shut[s] = out; !out {
-			delete(q.shut, s)
-		}
+		q.shut[s] = out
 	}
 	h.Withdraw(s.Server, out)
 	return true
@@ -1026,9 +1027,9 @@
 
 func (p *Planner) send(h Host, r *row, urgency int) bool {
 	t, lines := r.table, 1.0
-	if r.sent == 0 { // where another planner may have withdrawn it, the front ends that
-		lines += total(t.users, func(q *proxy) float64 { return map[bool]float64{true: 1}[q.brings] }) /
-			math.Max(float64(len(t.users)), 1)
+	if r.sent == 0 && len(t.users) > 0 { // where it is withdrawn still, or another planner may have done so
+		tell := only(t.users, func(q *proxy) bool { return q.brings || q.shut[r.server] && p.set.EndsByLine })
+		lines += float64(len(tell)) / float64(len(t.users))
 	}
 	if r.want == r.sent || len(t.users) > 0 && !p.pay(lines, t.users, urgency) {
 		return false
@@ -1036,6 +1037,9 @@
 	if r.sent == 0 {
 		r.server.raised = p.now
 	}
+	for _, q := range t.users {
+		q.shut[r.server] = r.server.out
+	}
 	if r.sent = r.want; urgency > tidy {
 		t.hurried = p.now
 	}
@@ -1052,16 +1056,15 @@
 	t := c.tables[q.copy]
 	p.todo = append(p.todo, func(h Host) bool {
 		out := only(t.rows, func(r *row) bool { return r.server.out })
-		cost := float64(1 + len(p.levels) + len(t.rows) + len(out))
-		if q.brings {
-			cost += float64(len(t.rows) - len(out))
-		}
+		told := func(r *row) bool { return q.brings || q.shut[r.server] && p.set.EndsByLine }
+		back := only(t.rows, func(r *row) bool { return !r.server.out && told(r) })
+		cost := float64(1 + len(p.levels) + len(t.rows) + len(out) + len(back))
 		if !slices.ContainsFunc(t.rows, (*row).held) || !p.pay(cost, []*proxy{q}, ruled) {
 			return false
 		}
 		q.bound[k], t.users = t, append(t.users, q)
-		for _, r := range out {
-			q.shut[r.server] = true
+		for _, r := range t.rows {
+			q.shut[r.server] = r.server.out
 		}
 		h.Bind(q.id, t.number, c.groups)
 		return true
--- a/brain/host.go
+++ b/brain/host.go
@@ -53,6 +53,7 @@
 	Planners      int
 	LeastConns    float64 // connections that the smallest server accepts
 	IdleMs        float64 // time after which a proxy closes an unused connection
+	EndsByLine    bool    // the host ends a withdrawal, where no table holds the server, with the line that brings it back
 }
 
 // State of a server in the list.
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -151,6 +151,7 @@
 
 // NewCore starts a planner at a time.
 func NewCore(site wire.Site, seed int64, now float64) *Core {
+	site.Module.EndsByLine = true // as Withdraw and align do
 	c := &Core{site: site, module: brain.New(site.Module, seed), book: tables.NewBook[*proxy](len(site.Groups)),
 		zones: map[string]int{}, groups: map[string]int{}, servers: map[string]*server{}, conns: map[*Conn]bool{},
 		proxies: make([]*proxy, site.Module.Proxies), sources: make([][]*Conn, len(site.Zones)), told: math.Inf(1), MostHalf: math.MaxInt}
@@ -758,7 +759,8 @@
 	}
 }
 
-// Withdraw concerns the proxies whose tables hold the server, and those that go by tables we do not know.
+// Withdraw concerns the proxies whose tables hold the server, and those that go by tables we do not know. One that was
+// told and holds it no more is told of its end with the line that brings it back.
 func (o orderer) Withdraw(name string, out bool) {
 	o.c.book.Withdraw(name, out)
 	s := o.c.servers[name]
@@ -767,7 +769,7 @@
 	}
 	for _, p := range o.c.order {
 		holds := slices.ContainsFunc(p.held, func(t *tables.Table[*proxy]) bool { return t == nil || t.Find(name) >= 0 })
-		if !p.asleep && (out && holds || !out && bit(s.told, p.id)) {
+		if !p.asleep && holds && (out || bit(s.told, p.id)) {
 			o.c.shut(p, s, out)
 		}
 	}
