--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -52,8 +52,8 @@
 		MostMessages: f.PushesAllowed, MessageSpanMs: f.ReloadSpanMs, LongestWayMs: f.TransitMaxMs,
 		ReportEveryMs: f.ReportEveryMs, ColdShare: i.Rules.ColdShare, WarmUpMs: i.Rules.WarmUpMs,
 		FallMs: i.Rules.FallMs, GraceMs: i.Rules.StopSendingWithinMs, CrossPrice: i.Prices.CrossZone,
-		Proxies: f.DataPlaneSize, Planners: i.Balancers, LeastConns: f.SmallestConnTable,
-		IdleMs: i.Limits.ConnIdleMs,
+		Proxies: f.DataPlaneSize, Planners: i.Balancers, LeastConns: orNone(f.SmallestConnTable),
+		IdleMs: orNone(i.Limits.ConnIdleMs),
 	}}
 	for k, c := range i.Classes {
 		s.Groups = append(s.Groups, c.Name)
@@ -62,3 +62,14 @@
 	}
 	return s, nil
 }
+
+// none stands for a limit that binds nothing.
+const none = 1e12
+
+// orNone reads a limit that is 0 or left out: there is none. Guards against taking it for 'none are allowed', 'at once'.
+func orNone(limit float64) float64 {
+	if limit <= 0 {
+		return none
+	}
+	return limit
+}
