--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -40,7 +40,7 @@
 	pongs     int     // owed
 	due       bool    // in the core's list of those owed something
 	refuse    bool    // is to be told so and closed
-	half      int     // bytes of its unended message, as counted in the core's sum
+	partial   int     // bytes of its unended message, as counted in the core's sum
 	silent    bool    // and is told nothing of it: it asked for nothing more
 	why       string  // that is so; its own, as another may be turned away before it is settled
 	ended     bool
@@ -141,9 +141,9 @@
 	told    float64
 	buf     []byte
 
-	passes             []pass  // the last one of quietMs ago or more, and those since
-	waiting, countedAt float64 // lines that were sent off and would wait
-	half, MostHalf     int     // bytes of messages that have not ended, of all connections together; and the most
+	passes               []pass  // the last one of quietMs ago or more, and those since
+	waiting, countedAt   float64 // lines that were sent off and would wait
+	partial, MostPartial int     // bytes of messages that have not ended, of all connections together; and the most
 
 	Counts Counts
 	Doubt  func(string) // told of each message that is not heard; may be nil
@@ -154,7 +154,7 @@
 	site.Module.EndsByLine = true // as Withdraw and align do
 	c := &Core{site: site, module: brain.New(site.Module, seed), book: tables.NewBook[*proxy](len(site.Groups)),
 		zones: map[string]int{}, groups: map[string]int{}, servers: map[string]*server{}, conns: map[*Conn]bool{},
-		proxies: make([]*proxy, site.Module.Proxies), sources: make([][]*Conn, len(site.Zones)), told: math.Inf(1), MostHalf: math.MaxInt}
+		proxies: make([]*proxy, site.Module.Proxies), sources: make([][]*Conn, len(site.Zones)), told: math.Inf(1), MostPartial: math.MaxInt}
 	for n, z := range site.Zones {
 		c.zones[z] = n
 	}
@@ -286,8 +286,8 @@
 		c.line(k, line)
 		return !k.ended && !k.refuse
 	})
-	if c.count(k); c.half > c.MostHalf {
-		c.shedHalf()
+	if c.count(k); c.partial > c.MostPartial {
+		c.shedPartial()
 	}
 	if err != nil && !k.refuse {
 		c.Counts.Unreadable++
@@ -295,9 +295,9 @@
 	}
 }
 
-// shedHalf turns the connection away that holds most of a message that does not end. Guards the memory: each may hold a
+// shedPartial turns the connection away that holds most of a message that does not end. Guards the memory: each may hold a
 // message's most, but not all of them at once.
-func (c *Core) shedHalf() {
+func (c *Core) shedPartial() {
 	var most *Conn
 	for _, p := range c.order {
 		if most == nil || len(p.conn.lines.part) > len(most.lines.part) {
@@ -311,7 +311,7 @@
 	}
 	if most != nil && !most.refuse { // strangers' first messages are short
 		c.Counts.Unreadable++
-		c.turnAway(most, errHalf.Error())
+		c.turnAway(most, errPartial.Error())
 	}
 }
 
@@ -327,8 +327,8 @@
 
 // count keeps the sum of what is held of messages that have not ended.
 func (c *Core) count(k *Conn) {
-	c.half += len(k.lines.part) - k.half
-	k.half = len(k.lines.part)
+	c.partial += len(k.lines.part) - k.partial
+	k.partial = len(k.lines.part)
 }
 
 func (c *Core) owe(k *Conn) {
--- a/internal/platform/core_test.go
+++ b/internal/platform/core_test.go
@@ -268,7 +268,7 @@
 	})
 	t.Run("messages that do not end fill their room together, and the longest goes first", func(t *testing.T) {
 		s := begin(t, 8)
-		s.MostHalf = 1 << 20
+		s.MostPartial = 1 << 20
 		var all []*Conn
 		for id := range 4 {
 			k := s.joined(id)
@@ -276,15 +276,15 @@
 			all = append(all, k)
 		}
 		s.pass(0)
-		if s.ended[all[0]] || s.ended[all[1]] || s.ended[all[2]] || !s.ended[all[3]] || s.half > s.MostHalf || len(s.order) != 3 {
-			t.Errorf("%t %t %t %t, %d bytes held", s.ended[all[0]], s.ended[all[1]], s.ended[all[2]], s.ended[all[3]], s.half)
+		if s.ended[all[0]] || s.ended[all[1]] || s.ended[all[2]] || !s.ended[all[3]] || s.partial > s.MostPartial || len(s.order) != 3 {
+			t.Errorf("%t %t %t %t, %d bytes held", s.ended[all[0]], s.ended[all[1]], s.ended[all[2]], s.ended[all[3]], s.partial)
 		}
 		for _, k := range all {
 			s.Fed(k, []byte("\r\n"))
 			s.Lost(k)
 		}
-		if s.half != 0 {
-			t.Errorf("%d bytes held of nobody", s.half)
+		if s.partial != 0 {
+			t.Errorf("%d bytes held of nobody", s.partial)
 		}
 	})
 }
--- a/internal/platform/line.go
+++ b/internal/platform/line.go
@@ -36,7 +36,7 @@
 var (
 	errLong       = errors.New("a message longer than allowed")
 	errUnreadable = errors.New("bytes that are no message")
-	errHalf       = errors.New("the longest of messages that do not end, which together fill their room")
+	errPartial    = errors.New("the longest of messages that do not end, which together fill their room")
 )
 
 // splitter cuts a connection's bytes into lines, however they come. It holds the part of a line alone.
--- a/internal/platform/owed_test.go
+++ b/internal/platform/owed_test.go
@@ -137,7 +137,7 @@
 func TestTheProgramIsToldToEnd(t *testing.T) {
 	t.Run("an order that is half written is written whole, then the stream ends", func(t *testing.T) {
 		c := newCatalog(t, list(9, true, "s-1:ready"))
-		half, go_, limited, once := make(chan bool), make(chan bool), make(chan bool, 64), sync.Once{}
+		half, release, limited, once := make(chan bool), make(chan bool), make(chan bool, 64), sync.Once{}
 		d := serveWith(t, config(c.at(), 64), func(o *Options) {
 			o.Clock = later()
 			o.Network = hooks{accepted: func(h *hooked) {
@@ -146,7 +146,7 @@
 					once.Do(func() {
 						n, _ = h.Conn.Write(b[:len(b)/2])
 						close(half)
-						<-go_
+						<-release
 					})
 					m, err := h.Conn.Write(b[n:])
 					return n + m, err
@@ -162,7 +162,7 @@
 			d.done <- err
 		case <-limited:
 		}
-		close(go_)
+		close(release)
 		text := a.closed()
 		if !strings.Contains(text, "replace=1") || !strings.HasSuffix(text, "\r\n") {
 			t.Errorf("half an order: %q", text)
@@ -170,13 +170,13 @@
 	})
 	t.Run("a connection accepted and not read is closed with a word, and its reader is waited for", func(t *testing.T) {
 		c := newCatalog(t, list(9, true, "s-1:ready"))
-		reading, go_ := make(chan bool), make(chan bool)
+		reading, release := make(chan bool), make(chan bool)
 		d := serveWith(t, config(c.at(), 64), func(o *Options) {
 			o.Clock = later()
 			o.Network = hooks{accepted: func(h *hooked) {
 				h.read = func(b []byte) (int, error) {
 					close(reading)
-					<-go_
+					<-release
 					return 0, net.ErrClosed
 				}
 			}}
@@ -193,7 +193,7 @@
 			d.done <- err
 		case <-time.After(100 * time.Millisecond): // for a fault to show; nothing is waited for where there is none
 		}
-		close(go_)
+		close(release)
 	})
 	t.Run("a peer that reads nothing does not keep it", func(t *testing.T) {
 		c := newCatalog(t, list(9, true, "s-1:ready"))
@@ -233,14 +233,14 @@
 func TestStreamsEndWithSomethingOwed(t *testing.T) {
 	t.Run("a stream is replaced while an order to the old one is unsent: the new one is served at once", func(t *testing.T) {
 		c := newCatalog(t, list(9, true, "s-1:ready"))
-		held, go_, first := make(chan bool), make(chan bool), atomic.Bool{}
+		held, release, first := make(chan bool), make(chan bool), atomic.Bool{}
 		d := serveWith(t, config(c.at(), 64), func(o *Options) {
 			o.Clock = later()
 			o.Network = hooks{accepted: func(h *hooked) {
 				if first.CompareAndSwap(false, true) {
 					h.write = func(b []byte) (int, error) {
 						close(held)
-						<-go_
+						<-release
 						h.write = nil
 						return h.Conn.Write(b)
 					}
@@ -251,7 +251,7 @@
 		<-held
 		next := d.dial("joined id=1 site=a rps=10 new=0\r\n")
 		next.until("replace=1")
-		close(go_)
+		close(release)
 		old.closed()
 		next.say("ping\r\n")
 		next.until(sayPong)
@@ -324,7 +324,7 @@
 	})
 	t.Run("who is refused hears of it, whatever it goes on sending", func(t *testing.T) {
 		c := newCatalog(t, list(9, true, "s-1:ready"))
-		held, go_, more := make(chan bool), make(chan bool), make(chan bool)
+		held, release, more := make(chan bool), make(chan bool), make(chan bool)
 		d := serveWith(t, config(c.at(), 64), func(o *Options) {
 			o.Clock = later()
 			o.Network = hooks{accepted: func(h *hooked) {
@@ -337,7 +337,7 @@
 				}
 				h.write = func(b []byte) (int, error) {
 					close(held)
-					<-go_
+					<-release
 					return h.Conn.Write(b)
 				}
 			}}
@@ -349,7 +349,7 @@
 		case <-more:
 		case <-time.After(time.Second): // for a fault to show
 		}
-		close(go_)
+		close(release)
 		if text := a.closed(); text != "pong\r\nrefused\r\n" {
 			t.Errorf("told %q", text)
 		}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -18,21 +18,21 @@
 )
 
 const (
-	readBytes  = 2048      // bytes of a connection's buffer; messages are short
-	mostUnsent = 256 << 10 // bytes that a proxy may leave unread here; far more than its messages of a minute
-	unsentPart = 8         // all of them together may leave unread this part of the memory
-	halfPart   = 16        // and messages that do not end may fill this one
-	memoryMB   = 1024      // taken where the configuration states no limit
-	spare      = 24        // descriptors that are not connections': list, log, the runtime's, and lingers
-	lingers    = 8         // connections that may be open for their last words beside those that fit
-	countsMs   = 10000.0   // ms between lines of counts in the log
-	traceMs    = 1000.0    // ms between traces
-	rereadMs   = 200.0     // ms until a configuration that could not be used is read again
-	mostReads  = 5         // times that this is done after a SIGHUP
-	panicMs    = 100.0     // ms of rest after a fault, so that one that lasts does not spin
-	mostFaults = 10        // looks in a row that end in a fault, until the program does
-	lastMs     = 300.0     // ms that the last words to a connection may take; SIGKILL follows SIGTERM after 700
-	acceptMs   = 5.0       // ms of rest after a failed accept
+	readBytes   = 2048      // bytes of a connection's buffer; messages are short
+	mostUnsent  = 256 << 10 // bytes that a proxy may leave unread here; far more than its messages of a minute
+	unsentPart  = 8         // all of them together may leave unread this part of the memory
+	partialPart = 16        // and messages that do not end may fill this one
+	memoryMB    = 1024      // taken where the configuration states no limit
+	spare       = 24        // descriptors that are not connections': list, log, the runtime's, and lingers
+	lingers     = 8         // connections that may be open for their last words beside those that fit
+	countsMs    = 10000.0   // ms between lines of counts in the log
+	traceMs     = 1000.0    // ms between traces
+	rereadMs    = 200.0     // ms until a configuration that could not be used is read again
+	mostReads   = 5         // times that this is done after a SIGHUP
+	panicMs     = 100.0     // ms of rest after a fault, so that one that lasts does not spin
+	mostFaults  = 10        // looks in a row that end in a fault, until the program does
+	lastMs      = 300.0     // ms that the last words to a connection may take; SIGKILL follows SIGTERM after 700
+	acceptMs    = 5.0       // ms of rest after a failed accept
 )
 
 // Options are what Run is handed.
@@ -118,7 +118,7 @@
 		s.room = max(o.Config.Sockets-spare, 8)
 	}
 	s.core = NewCore(o.Config.Site, o.Config.Seed, s.now())
-	s.core.MostHalf = max(memory<<20/halfPart, mostLine)
+	s.core.MostPartial = max(memory<<20/partialPart, mostLine)
 	s.core.Doubt = func(what string) { s.Log.Debug("message not heard", "why", what) }
 	s.core.Listed(brain.Restored, o.Config.Known)
 	return s
