--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -13,6 +13,7 @@
   rm -rf "$folder"
 }
 trap finish EXIT
+trap 'exit 2' INT TERM
 record="$here/record.txt"
 : >"$record"
 spoil=${SPOIL:-1}
