Ignore reports with numbers out of range, so that one cannot stop a planner's decisions

Cause: the decoder takes any period from 0 ms on, and the policy any period at all. demandOf divides by it: the rate is +Inf. updateAdmissionIfDue then computes share = admittedRate / demand = Inf/Inf = NaN, and shed stores it in the targets of the classes, from which the next share is computed; it stays NaN when the demand is finite again. fillTables finds no table with rate > 0 and divides by their number.

Change: policy/inputlimits.go limits the numbers of inputs: reports out of range are ignored, rates and capacities limited. All front ends go through it. The platform's decoder rejects such reports, so that the operator sees them counted. Rates are then finite, and so is all that is computed from them.

--- a/internal/platform/decode.go
+++ b/internal/platform/decode.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"strconv"
+
+	"lichenpick/policy"
 )
 
 // Names of the operators' protocol are only used in decode.go, encode.go and endpointlist.go. A message is one line: its
@@ -195,15 +197,24 @@
 	return string(value)
 }
 
-// number returns the value of a numeric field, which must be from 0 to a maximum.
-func (m *message) number(name string, maximum float64) float64 {
+// number returns the value of a numeric field, which must be from a minimum to a maximum.
+func (m *message) number(name string, minimum, maximum float64) float64 {
 	value, err := strconv.ParseFloat(m.text(name), 64)
-	if err != nil || math.IsNaN(value) || value < 0 || value > maximum {
-		m.fail(name, "not a number from 0 to %g", maximum)
+	if err != nil || math.IsNaN(value) || value < minimum || value > maximum {
+		m.fail(name, "not a number from %g to %g", minimum, maximum)
 	}
 	return value
 }
 
+// latency returns the value of a field with a latency in ms. It is 0 if no request succeeded.
+func (m *message) latency(name string) float64 {
+	latencyMs := m.number(name, 0, maxSpanMs)
+	if latencyMs > 0 && latencyMs < policy.MinLatencyMs {
+		m.fail(name, "neither 0 nor at least %g", policy.MinLatencyMs)
+	}
+	return latencyMs
+}
+
 // integer returns the value of an integer field, which must be from 0 to a maximum.
 func (m *message) integer(name string, maximum int) int {
 	value, err := strconv.Atoi(m.text(name))
@@ -233,7 +244,7 @@
 	join := JoinMessage{
 		ProxyID:     m.integer("id", maxProxyID),
 		Zone:        m.text("site"),
-		RequestRate: m.number("rps", maxRequests),
+		RequestRate: m.number("rps", 0, maxRequests),
 		New:         m.integer("new", 1) == 1,
 	}
 	return join, m.err
@@ -251,8 +262,8 @@
 		Server:   m.text("target"),
 		Requests: requests,
 		Failed:   m.integer("fail", requests),
-		MeanMs:   m.number("mean", maxSpanMs),
-		SpanMs:   m.number("over", maxSpanMs),
+		MeanMs:   m.latency("mean"),
+		SpanMs:   m.number("over", policy.MinReportMs, maxSpanMs),
 	}
 	m.checkPairs("util")
 	return report, m.err
@@ -264,7 +275,7 @@
 		Class:    m.text("lane"),
 		Requests: m.integer("count", maxRequests),
 		Failed:   m.integer("fail", maxRequests),
-		SpanMs:   m.number("over", maxSpanMs),
+		SpanMs:   m.number("over", policy.MinReportMs, maxSpanMs),
 	}
 	return report, m.err
 }
@@ -273,7 +284,7 @@
 	acknowledgement := AcknowledgementMessage{
 		ProxyID:       m.integer("id", maxProxyID),
 		Number:        m.integer("seq", maxAckNumber),
-		PropagationMs: m.number("ms", maxSpanMs),
+		PropagationMs: m.number("ms", 0, maxSpanMs),
 	}
 	return acknowledgement, m.err
 }
--- a/policy/doc.go
+++ b/policy/doc.go
@@ -12,7 +12,7 @@
 //  1. calls SetTime,
 //  2. calls the input methods that describe the event: UpdateEndpoints, AddProxy, RemoveProxy, ExpectInheritedEjections,
 //     RecordLoadReport, RecordDemandReport, Acknowledge or SetLagging. Inputs only update the state; an input about an
-//     unknown server, proxy, zone or traffic class is ignored.
+//     unknown server, proxy, zone or traffic class is ignored, and so is a report with a number out of range.
 //  3. calls Next until it returns false. Each call makes at most one decision, as one call of a Host method.
 //
 // Orders to a proxy between two calls of SetTime share one message. Next asks the host for a timer, so that SetTime and
@@ -34,7 +34,7 @@
 //	pacing.go        the message and entry budget of the control channel
 //	constants.go     all tuning constants
 //	host.go          Settings, and the Host interface that carries out decisions
-//	inputs.go        the input methods
+//	inputs.go        the input methods; inputlimits.go has the limits of the numbers in them
 //	measurements.go  demand, and statistics of servers and of the fleet
 //	state.go         the types of the state; records.go and problem.go maintain it
 //	collections.go   helpers for slices
--- a/policy/inputs.go
+++ b/policy/inputs.go
@@ -99,7 +99,7 @@
 	}
 	p.setState(known, endpoint.State)
 	known.Endpoint = endpoint
-	known.RelativeCapacity = math.Max(endpoint.RelativeCapacity, minRelativeCapacity)
+	known.RelativeCapacity = limit(endpoint.RelativeCapacity, minRelativeCapacity, maxRelativeCapacity)
 	return known
 }
 
@@ -131,7 +131,7 @@
 
 // AddProxy records that a proxy joined or rejoined: its id, its zone, the requests per second that it expects, and the times
 // in ms of the messages that another planner sent it, oldest first. These messages count towards Settings.MaxMessages. A
-// proxy of a zone that the settings do not have is ignored.
+// proxy of a zone that the settings do not have is ignored. A rate out of range counts as the nearest rate within it.
 func (p *Policy) AddProxy(id, zone int, usualRate float64, messageTimes ...float64) {
 	p.RemoveProxy(id)
 	if zone < 0 || zone >= p.settings.Zones {
@@ -141,7 +141,7 @@
 		id:               id,
 		zone:             zone,
 		cohort:           -1,
-		expectedRate:     usualRate,
+		expectedRate:     limit(usualRate, 0, maxRequestRate),
 		joinedMs:         p.nowMs,
 		messageTimes:     slices.Clone(messageTimes),
 		acknowledgements: map[int]float64{},
@@ -181,10 +181,10 @@
 
 // RecordLoadReport records a load report of a server: the number of attempts from the proxies of a zone in a period of
 // coversMs, how many of them failed, and the mean latency in ms of the successful ones. A report of an unknown server or
-// zone, or without attempts, is ignored.
+// zone, without attempts, or with a number out of range is ignored.
 func (p *Policy) RecordLoadReport(name string, zone, count, failed int, latencyMs, coversMs float64) {
 	server := p.byName[name]
-	if server == nil || count <= 0 || zone < 0 || zone >= p.settings.Zones {
+	if server == nil || zone < 0 || zone >= p.settings.Zones || !isUsableLoad(count, failed, latencyMs, coversMs) {
 		return
 	}
 	p.reportedMs = p.nowMs
@@ -203,10 +203,11 @@
 }
 
 // RecordDemandReport records a demand report of a proxy: the number of requests of a traffic class that it received in a
-// period of coversMs, and how many of them failed. A report of an unknown proxy or class is ignored.
+// period of coversMs, and how many of them failed. A report of an unknown proxy or class, or with a number out of range, is
+// ignored.
 func (p *Policy) RecordDemandReport(id, class, count, failed int, coversMs float64) {
 	proxy := p.byID[id]
-	if proxy == nil || class < 0 || class >= len(proxy.demand) {
+	if proxy == nil || class < 0 || class >= len(proxy.demand) || !isUsableDemand(count, failed, coversMs) {
 		return
 	}
 	report := sample{
