End a planner on the platform at ten panics within a minute, not only ten in a row

Cause: decide set the count to 0 whenever pulling decisions succeeded. A solve that panics stays due and panics each 0.2 s; inputs in between wake decide, which finds nothing due and succeeds.

Change: the times of the last ten panics are kept; ten within 60 s end the program. What succeeds between them says nothing of the solve. Related: a panic at a peer's bytes costs its connection and isn't counted (held); `planner` ends at its first panic (held).

--- a/internal/platform/runtime.go
+++ b/internal/platform/runtime.go
@@ -144,8 +144,8 @@
 // A panic is logged, and only affects what was being processed: an input that causes one is lost together with its
 // connection, and a decision that causes one is not repeated, because the policy removes each decision from its list before
 // it carries out the decision. State that is left half changed concerns a single proxy or server, and the next solve
-// rewrites all tables. If every evaluation panics, the planner still answers its peers but decides nothing; decide then ends
-// the program, so that it is restarted with fresh state.
+// rewrites all tables. If evaluations keep panicking, the planner still answers its peers but decides little or nothing;
+// decide then ends the program, so that it is restarted with fresh state.
 func (s *serverRuntime) withCore(call func()) (ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/platform/runtime_test.go
+++ b/internal/platform/runtime_test.go
@@ -181,6 +181,37 @@
 		}
 		r.core.policy = original
 	})
+	// Guards against a planner that orders nothing for as long as it runs, because each solve panics and evaluations between
+	// two solves succeed.
+	t.Run("a planner whose evaluations panic by turns with others that succeed ends with an error", func(t *testing.T) {
+		r := newBlockedRuntime(t, 64, 2)
+		r.Clock = scaledClock{clock.NewReal(), 50, 1}
+		trace := &panickingTrace{}
+		r.Trace = trace // written once a second, and evaluations come every 200 ms
+		if err := r.decide(t.Context()); !errors.Is(err, ErrRepeatedPanics) || trace.panics != maxPanics {
+			t.Errorf("decide ended with %v after %d panics, want %d", err, trace.panics, maxPanics)
+		}
+	})
+	t.Run("panics that come more slowly do not end a planner", func(t *testing.T) {
+		const intervalMs = (panicWindowMs + 1) / (maxPanics - 1)
+		var schedule decisionSchedule
+		for count := range 10 * maxPanics {
+			if schedule.addPanic(float64(count) * intervalMs) {
+				t.Fatalf("ended at panic %d", count)
+			}
+		}
+		if len(schedule.panicsMs) > maxPanics {
+			t.Errorf("%d times are kept", len(schedule.panicsMs))
+		}
+	})
+}
+
+// panickingTrace is a trace whose writes panic.
+type panickingTrace struct{ panics int }
+
+func (w *panickingTrace) Write([]byte) (int, error) {
+	w.panics++
+	panic("panic injected by the test")
 }
 
 // panickingLog is a log handler that panics when a rejected message is logged.
