Control stream: end a stream whose usual demand or latency no proxy can have

Cause: sums of such numbers overflow. A latency of 1.8e308 ms makes the mean that the intake keeps for all proxies of a zone infinite; since the policy ignores such a report, with the good proxies' part in it.

Looked at and sound: the period of a report (the intake takes its own clock's), ages of messages and lease times (finite, used for comparisons alone), sizes in lists (the policy limits them).

Measured: two new cases of TestPlannerSession; both failed before ("the stream ended with <nil>, want body"). No golden file changed.

--- a/internal/controlstream/plannersession_test.go
+++ b/internal/controlstream/plannersession_test.go
@@ -34,6 +34,9 @@
 	afterJoin := func(kind FrameKind, body proto.Message) []byte { return encode(t, join, testFrame{kind, body}) }
 	moreFailedThanTried := &order.Sums{Servers: []*order.ServerSum{{Server: "a", Tries: 1, Dropped: 2}}}
 	notANumber := &order.Join{Proxy: "x", UsualPerS: math.NaN()}
+	// Both guard against sums that overflow: with two such joins, the demand in the policy was infinite.
+	hugeRate := &order.Join{Proxy: "x", UsualPerS: math.MaxFloat64}
+	hugeLatency := &order.Sums{Servers: []*order.ServerSum{{Server: "a", Tries: 2, LatencyMs: math.MaxFloat64}}}
 	return map[string]misbehaviour{
 		"another protocol":                   {[]byte("GET / HTTP/1.1\r\n\r\n"), 0, ReasonBadMagic},
 		"another version":                    {withByte(joined, versionOffset, 9), 0, ReasonBadVersion},
@@ -47,6 +50,8 @@
 		"half a join":                        {joined[:len(joined)/2], 1000, ReasonHandshakeTimeout},
 		"silence after the join":             {joined, 5000, ReasonHeartbeatTimeout},
 		"a value that is not a number":       {encode(t, testFrame{FrameJoin, notANumber}), 0, ReasonBadBody},
+		"a usual demand that no proxy has":   {encode(t, testFrame{FrameJoin, hugeRate}), 0, ReasonBadBody},
+		"a latency that no server has":       {afterJoin(FrameLoadReport, hugeLatency), 0, ReasonBadBody},
 		"a join without a name":              {encode(t, testFrame{FrameJoin, &order.Join{}}), 0, ReasonBadBody},
 		"more failed attempts than attempts": {afterJoin(FrameLoadReport, moreFailedThanTried), 0, ReasonBadBody},
 		"a close frame":                      {afterJoin(FrameClose, &order.Bye{Reason: "done"}), 0, ReasonPeerClosed},
--- a/internal/controlstream/validate.go
+++ b/internal/controlstream/validate.go
@@ -16,6 +16,12 @@
 	maxEntries     = 65536 // largest length of a list of entries, servers, traffic classes or times in a message
 )
 
+// Largest values of quantities in messages. Sums of larger ones may overflow.
+const (
+	maxRequestRate = 1e7     // usual demand of a proxy in requests/s; the settings of a proxy have the same limit
+	maxLatencyMs   = 86400e3 // mean latency of a server in ms: a day
+)
+
 // Largest values of enumerations that are plain integers on the wire.
 const (
 	maxRetryMode     = 3 // largest retry mode, which allows two retries
@@ -32,6 +38,9 @@
 // "reject if above the limit", because every comparison with NaN is false.
 func isFiniteNonNegative(quantity float64) bool { return quantity >= 0 && !math.IsInf(quantity, 0) }
 
+// isWithin reports whether a quantity is from 0 to a largest value; NaN is not.
+func isWithin(quantity, largest float64) bool { return quantity >= 0 && quantity <= largest }
+
 // checkJoin returns an error if a value of the message is out of range. The other check functions do the same for other
 // messages.
 func checkJoin(join *order.Join) error {
@@ -40,7 +49,7 @@
 		return fmt.Errorf("invalid length of the proxy name: %d bytes", len(join.Proxy))
 	case len(join.Zone) > maxNameBytes:
 		return fmt.Errorf("invalid length of the zone name: %d bytes", len(join.Zone))
-	case !isFiniteNonNegative(join.UsualPerS):
+	case !isWithin(join.UsualPerS, maxRequestRate):
 		return fmt.Errorf("invalid usual demand: %g requests/s", join.UsualPerS)
 	case len(join.Holds) > maxTables:
 		return fmt.Errorf("too many tables: %d", len(join.Holds))
@@ -92,7 +101,7 @@
 			len(report.Servers), len(report.Groups), report.CoversMs)
 	}
 	for _, server := range report.Servers {
-		if !isName(server.Server) || server.Dropped > server.Tries || !isFiniteNonNegative(server.LatencyMs) {
+		if !isName(server.Server) || server.Dropped > server.Tries || !isWithin(server.LatencyMs, maxLatencyMs) {
 			return fmt.Errorf("invalid load of a server: %d of %d attempts failed, latency %g ms",
 				server.Dropped, server.Tries, server.LatencyMs)
 		}
