Proxy: close the connection on which the HTTP library would resend a written request

Cause: net/http resends a request when a reused connection breaks before the answer (GET and the like, or with an Idempotency-Key). forbidResend cancelled the context in GotConn of the second connection, but the library doesn't look at the context there: pconn.roundTrip hands the request to the writing goroutine first. Writing and closing raced.

Change: GotConn closes that connection. It is called by the goroutine that has yet to hand the request over, so nothing can be written; the context is still cancelled, so that no third connection is tried. mapRoundTripError waits for the writer to end, so the flag is final. Looked at besides: load generators, discovery's client, the status client (no resend of what must not run twice); control stream and platform sessions don't use net/http.

--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -86,16 +86,19 @@
 }
 
 // forbidResend guards against processing a request twice. The HTTP library resends some requests by itself when a reused
-// connection breaks, although the server may already have processed the first copy. The returned context is cancelled when
-// the library gets a connection after the request was written, so the library can resend a request only while nothing of
-// it has been written. The returned flag is true once the headers of the request were written.
+// connection breaks, although the server may already have processed the first copy. Whenever the library gets a connection
+// after the request was written, that connection is closed before the library can write to it, and the returned context is
+// cancelled, which ends the resends. So the library resends a request only while nothing of it has been written. The
+// cancellation alone would not be enough: the library hands the request to the goroutine that writes to the connection before
+// it looks at the context. The returned flag is true once the headers of the request were written.
 func forbidResend(ctx context.Context, cancel context.CancelFunc) (context.Context, *atomic.Bool) {
 	written := &atomic.Bool{}
 	trace := &httptrace.ClientTrace{
 		WroteHeaders: func() { written.Store(true) },
-		GotConn: func(httptrace.GotConnInfo) {
+		GotConn: func(info httptrace.GotConnInfo) {
 			if written.Load() {
 				cancel()
+				_ = info.Conn.Close() // an error means that the connection is broken already
 			}
 		},
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -21,6 +21,12 @@
 
 // startProxy runs a proxy without a planner and with a standing table of the given servers, and returns its address.
 func startProxy(t *testing.T, extraSettings string, servers ...string) (running *Proxy, address string) {
+	t.Helper()
+	return startProxyOn(t, clock.TCP{}, extraSettings, servers...)
+}
+
+// startProxyOn is startProxy with the network that the proxy uses.
+func startProxyOn(t *testing.T, network clock.Network, extraSettings string, servers ...string) (running *Proxy, address string) {
 	t.Helper()
 	text := `name: "x" listen: "127.0.0.1:0" planners: "127.0.0.1:1" default_retry: ONCE
 		groups { name: "check" latency_budget: "600ms" expiry: "1.5s" repeat: RETRIABLE }
@@ -36,7 +42,7 @@
 	ready := make(chan string, 1)
 	done := make(chan error, 1)
 	running = New(Options{
-		Settings: set, Clock: clock.NewReal(), Network: clock.TCP{}, Log: slog.New(slog.DiscardHandler),
+		Settings: set, Clock: clock.NewReal(), Network: network, Log: slog.New(slog.DiscardHandler),
 		Ready: func(address net.Addr) { ready <- address.String() },
 	})
 	go func() { done <- running.Run(t.Context()) }() // the context is cancelled before the cleanup functions run
