Proxy: end the record of a drain when a planner gives the server weight again

Cause: the proxy names to a new lease holder the servers that the last one ejected as draining or gone (drainingSinceMs, kept for ten minutes). The record ended with a readmission or a new table. A crashed server leaves the table by weight 0 with Forget, which ends the ejection, and comes back by a weight, without a readmission, as there is no ejection to end. The successor ejects it for 30 s.

Evidence: checkReportedDrains plays the orders on the proxy's core: Going was inherited, removed, restarted.

Change: weight for a server that isn't ejected ends the record, as a holder gives weight only to what its list shows ready. With an inherited drain the ejection comes before the weight (policyHost.SetWeight), so that record stays; the test has both.

--- a/internal/proxy/core_test.go
+++ b/internal/proxy/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 
 	"lichenpick/policy"
@@ -21,6 +22,7 @@
 		checkAttemptLimits)
 	t.Run("each attempt and request is reported exactly once", checkLoadReport)
 	t.Run("orders of a past epoch or of another controller are rejected", checkFencing)
+	t.Run("the next lease holder is notified of the drains in force alone", checkReportedDrains)
 	t.Run("Pick finds no server in an empty table", func(t *testing.T) {
 		core := newAssignedCore(t, "", entry("a", 0))
 		request, _ := core.Admit(0, 0)
@@ -190,3 +192,32 @@
 		t.Errorf("lease state is %v, want epoch 2, controller B and one table of 2 entries", state)
 	}
 }
+
+// Guards against a zone without a server: after servers had crashed and started again, the next lease holder was still notified
+// that they drain, and ejected them for 30 s.
+func checkReportedDrains(t *testing.T) {
+	weightOrder := func(server string, weight float64, forget bool) *order.Orders {
+		change := &order.SetLine{Table: testTable, Line: entry(server, weight), Forget: forget}
+		return &order.Orders{Orders: []*order.Order{{What: &order.Order_Line{Line: change}}}}
+	}
+	drain := func(server string) *order.Orders {
+		ejection := &order.Withdraw{Server: server, Out: true, Going: true}
+		return &order.Orders{Orders: []*order.Order{{What: &order.Order_Withdraw{Withdraw: ejection}}}}
+	}
+	core := newAssignedCore(t, "sharing: true", entry("restarted", 0.4), entry("removed", 0.3), entry("inherited", 0.3))
+	for _, message := range []*order.Orders{
+		drain("restarted"),
+		drain("removed"),
+		weightOrder("restarted", 0, true),
+		weightOrder("removed", 0, true),
+		weightOrder("restarted", 0.1, false), // the list of the holder shows the server as ready again
+		drain("inherited"),
+		weightOrder("inherited", 0.2, false), // the holder keeps a drain that its own list does not show yet
+	} {
+		core.ApplyOrders(message)
+	}
+	state := core.LeaseState(1000, true)
+	if want := []string{"inherited", "removed"}; !slices.Equal(state.Going, want) {
+		t.Errorf("the next lease holder is notified that %q drain, want %q", state.Going, want)
+	}
+}
--- a/internal/proxy/tables.go
+++ b/internal/proxy/tables.go
@@ -50,10 +50,17 @@
 	return acknowledgements
 }
 
+// setEntry changes an entry of a table. A planner gives weight to a server that is not ejected only while its endpoint list
+// shows the server as ready, so such an order also ends the record that the server drains. Otherwise the record of a server
+// that left the tables, and came back after a restart, would make the next lease holder eject the server.
 func (c *Core) setEntry(change *order.SetLine) {
+	server := change.Line.Server
 	c.setWeight(change.Table, change.Line)
 	if change.Forget {
-		delete(c.ejected, change.Line.Server)
+		delete(c.ejected, server)
+	}
+	if change.Line.Weight > 0 && !c.ejected[server] {
+		delete(c.drainingSinceMs, server)
 	}
 }
 
