Proxy: take the address of a server from the tables alone, and refuse other request targets

Cause: outgoingRequest put "http://", the server's address and URL.RequestURI() together; the opaque part of such a target follows the address without a slash, so that the address became user information of another host.

Change: the URL of an attempt is built from the server's address and the path and query of the target (origin form, RFC 9112, 3.2).

--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -105,14 +106,28 @@
 	return httptrace.WithClientTrace(ctx, trace), written
 }
 
+// originForm returns the target of a request to a server: path and query of the incoming request's target, and the server's
+// address. The address comes from the weight tables alone, whatever authority or opaque part the client wrote.
+func originForm(incoming *url.URL, server string) *url.URL {
+	return &url.URL{
+		Scheme:     "http",
+		Host:       server,
+		Path:       incoming.Path,
+		RawPath:    incoming.RawPath,
+		ForceQuery: incoming.ForceQuery,
+		RawQuery:   incoming.RawQuery,
+	}
+}
+
 func (p *Proxy) outgoingRequest(
 	ctx context.Context, incoming *http.Request, body []byte, server string, attemptNumber int,
 ) (*http.Request, error) {
-	url := "http://" + server + incoming.URL.RequestURI()
-	outgoing, err := http.NewRequestWithContext(ctx, incoming.Method, url, bytes.NewReader(body))
+	target := originForm(incoming.URL, server)
+	outgoing, err := http.NewRequestWithContext(ctx, incoming.Method, target.String(), bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
+	outgoing.URL = target
 	outgoing.Header = incoming.Header.Clone()
 	for _, name := range hopByHopHeaders {
 		outgoing.Header.Del(name)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 
 	"lichenpick/internal/settings"
 )
@@ -41,6 +43,10 @@
 		return
 	}
 	defer p.inFlightCount.Add(-1)
+	if refusal := checkTarget(incoming); refusal != nil {
+		rejectMalformed(response, refusal.cause, refusal.status)
+		return
+	}
 	className := incoming.Header.Get(ClassHeader)
 	class, known := p.classByName[className]
 	if !known && className != "" {
@@ -60,6 +66,37 @@
 	p.forward(response, incoming, body, request)
 }
 
+// targetRefusal is the response to a request that no server can be sent.
+type targetRefusal struct {
+	status int
+	cause  string
+}
+
+// checkTarget returns why a request cannot be forwarded, or nil. A gateway forwards the origin form of a request target, a path
+// with a query, and the absolute form, whose authority it replaces (RFC 9112, section 3.2). It is no tunnel: the authority form
+// belongs to CONNECT.
+func checkTarget(incoming *http.Request) *targetRefusal {
+	switch {
+	case incoming.Method == http.MethodConnect:
+		return &targetRefusal{http.StatusNotImplemented, "CONNECT is not supported"}
+	case incoming.Header.Get("Upgrade") != "":
+		return &targetRefusal{http.StatusNotImplemented, "upgrades to another protocol are not supported"}
+	case incoming.URL.Opaque != "" || !isOriginPath(incoming.URL):
+		return &targetRefusal{http.StatusBadRequest, "the request target is neither a path nor an http URL"}
+	}
+	return nil
+}
+
+// isOriginPath reports whether a target has a path that may stand in the origin form. The path of an absolute form may be
+// empty, which means "/".
+func isOriginPath(target *url.URL) bool {
+	if target.Scheme == "" {
+		return strings.HasPrefix(target.Path, "/")
+	}
+	isHTTP := target.Scheme == "http" || target.Scheme == "https"
+	return isHTTP && target.Host != "" && (target.Path == "" || strings.HasPrefix(target.Path, "/"))
+}
+
 // forward sends a request to servers until an attempt succeeds or may not be retried, and responds to the client.
 func (p *Proxy) forward(response http.ResponseWriter, incoming *http.Request, body []byte, request *Request) {
 	for {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -55,6 +55,8 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       settings.Duration(p.Settings.ConnectionIdle),
 		ErrorLog:          slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug),
+		// The handler refuses the asterisk form, as no server answers for all of them.
+		DisableGeneralOptionsHandler: true,
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return serve(server, listener) })
