Policy: count the drain grace from the drain, not anew when the server is listed as gone

Cause: setState sets stateChangedMs at each change, and drainIsDue and inDrainGrace count from it. Ten servers drain at 18.1 s and are gone at 22.6 s, just before the ejections, which wait to share messages for half the grace, are due; the wait begins anew, and they are ordered at 27.1 s, 9 s after the drain.

No panic, no proxy over its limit of messages, the takeover over by 20.9 s.

Change: leftReadyMs, the time when the list ceased to show the server as ready; the grace, its deadline and the oldest drain go by it. stateChangedMs is left for forgetting removed servers.

Measured: TestRemovalDoesNotExtendTheDrainGrace failed before.

--- /dev/null
+++ b/policy/drain_test.go
@@ -0,0 +1,25 @@
+package policy
+
+import "testing"
+
+// Guards against a broken drain rule: the deadline of a drain began anew when the server was listed as removed, so that an
+// ejection which waited to share a message came after the grace.
+func TestRemovalDoesNotExtendTheDrainGrace(t *testing.T) {
+	settings := testSettings()
+	settings.DrainGraceMs = 10000 // the drain is due half of this, less the longest propagation, after it was listed: 4 s
+	settings.MaxMessages = 3      // so few that an ejection waits to share a message until it is due
+	f := startFleet(settings, 8)
+	f.run(2, healthy)
+	drained := Endpoint{Server: "s3", Zone: 1, RelativeCapacity: 1, State: Draining}
+	f.update(drained)
+	f.run(3, healthy)
+	if f.ejected["s3"] {
+		t.Fatal("the ejection did not wait, so the test shows nothing")
+	}
+	drained.State = Removed
+	f.update(drained)
+	f.run(2, healthy)
+	if !f.ejected["s3"] {
+		t.Error("the server is not ejected 5 s after its drain was listed, half of the grace")
+	}
+}
--- a/policy/records.go
+++ b/policy/records.go
@@ -156,7 +156,7 @@
 
 // inDrainGrace reports whether proxies may still send to a draining or removed server.
 func (p *Policy) inDrainGrace(server *server) bool {
-	return server.State != Ready && p.nowMs < server.stateChangedMs+p.settings.DrainGraceMs
+	return server.State != Ready && p.nowMs < server.leftReadyMs+p.settings.DrainGraceMs
 }
 
 // cold reports whether a server is in slow start.
--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -176,7 +176,7 @@
 // drainIsDue reports whether a drain must be sent now to reach proxies by half of the drain grace, even after the longest
 // propagation.
 func (p *Policy) drainIsDue(server *server) bool {
-	return p.nowMs >= server.stateChangedMs+p.settings.DrainGraceMs*maxDrainWaitShare-p.settings.MaxPropagationMs
+	return p.nowMs >= server.leftReadyMs+p.settings.DrainGraceMs*maxDrainWaitShare-p.settings.MaxPropagationMs
 }
 
 // ejectionRecipients returns the proxies that an ejection or a readmission is to be sent to.
@@ -206,13 +206,13 @@
 	oldest := p.nowMs
 	for _, server := range p.servers {
 		if p.inDrainGrace(server) {
-			oldest = min(oldest, server.stateChangedMs)
+			oldest = min(oldest, server.leftReadyMs)
 		}
 	}
 	entries := 0
 	recipients := map[*proxy]bool{}
 	for _, server := range p.servers {
-		isUrgent := server.stateChangedMs <= oldest || p.drainIsDue(server)
+		isUrgent := server.leftReadyMs <= oldest || p.drainIsDue(server)
 		if server.State == Ready || server.ejected || !isUrgent {
 			continue
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -31,6 +31,7 @@
 	hasSucceeded     bool    // some attempt at the server succeeded
 	discoveredLate   bool    // the server was first listed after the first solve
 	stateChangedMs   float64 // last change of the server's state in the list
+	leftReadyMs      float64 // when the list last ceased to show the server as ready: the start of its drain grace
 	addedMs          float64 // last time that the server was added to a table
 
 	// Statistics, updated by each evaluation:
