--- a/policy/drain_test.go
+++ b/policy/drain_test.go
@@ -23,3 +23,22 @@
 		t.Error("the server is not ejected 5 s after its drain was listed, half of the grace")
 	}
 }
+
+// Guards against a broken drain rule: an ejection waited for half the grace to share a message, and then stood behind a
+// backlog for the rest of it.
+func TestDrainDoesNotWaitWhileTheChannelIsFull(t *testing.T) {
+	settings := testSettings()
+	settings.DrainGraceMs = 10000
+	settings.MaxMessages = 3
+	settings.EntriesPerSecond = 10 // the first tables take more than 4 s
+	f := startFleet(settings, 8)
+	f.advance(400)
+	f.update(Endpoint{Server: "s3", Zone: 1, RelativeCapacity: 1, State: Draining})
+	f.decide()
+	if delayMs := f.planner.queueMs(); delayMs < 4000 || delayMs > settings.DrainGraceMs {
+		t.Fatalf("the channel takes %.0f ms for its backlog, so the test shows nothing", delayMs)
+	}
+	if !f.ejected["s3"] {
+		t.Error("the ejection waits although it reaches proxies after half of the grace")
+	}
+}
--- a/policy/pacing.go
+++ b/policy/pacing.go
@@ -20,6 +20,14 @@
 	return p.backlog
 }
 
+// queueMs returns the time in ms that the channel takes, without faults, to send the backlog as of its last update.
+func (p *Policy) queueMs() float64 {
+	if p.settings.EntriesPerSecond <= 0 {
+		return 0
+	}
+	return p.backlog / p.settings.EntriesPerSecond * 1000
+}
+
 // spendBudget spends the budget for an order with the given number of entries to each recipient, and reports whether the
 // channel had room for an order of its urgency.
 func (p *Policy) spendBudget(entries float64, recipients []*proxy, urgency int) bool {
