Proxy: an answer whose status is not final fails its attempt, instead of a panic

Cause: net/http's client accepts any three digits as a status, its server panics below 100; 101 without an upgrade was passed on, after which the client waits for another protocol.

Change: a status below 200 fails the attempt, as any broken answer does (counted as failed, 502, a debug line with server and status). Hop-by-hop headers of the answer are not passed on, as those of the request aren't.

--- a/internal/proxy/controlclient.go
+++ b/internal/proxy/controlclient.go
@@ -37,6 +37,8 @@
 	logPlanner = "planner"
 	logCause   = "cause"
 	logAddress = "address"
+	logServer  = "server"
+	logStatus  = "status"
 )
 
 // Options configure a ControlClient or a Proxy. All fields must be set unless noted otherwise.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -44,6 +45,9 @@
 	for name, values := range b.header {
 		response.Header()[name] = values
 	}
+	for _, name := range hopByHopHeaders {
+		response.Header().Del(name)
+	}
 	response.WriteHeader(b.status)
 	_, _ = response.Write(b.body) // fails only if the client has disconnected, so nobody can receive the error
 }
@@ -78,6 +82,10 @@
 		return nil, Failed
 	}
 	defer closeBody(response)
+	if response.StatusCode < http.StatusOK { // not a final response: 101 without an upgrade, or a number that is no status
+		p.Log.Debug("response rejected", slog.String(logServer, target.server), slog.Int(logStatus, response.StatusCode))
+		return nil, Failed
+	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
 	if err != nil {
 		return nil, Failed
