Test: one demand report at a message's limit keeps admission at 1 through an overload (known red)

Cause: fleetLoad's succeeded rate is the admitted part of the reported demand; updateAdmissionIfDue keeps its maximum as capacityRate, and a cut takes off a fifth of that at most.

--- a/policy/inputlimits_test.go
+++ b/policy/inputlimits_test.go
@@ -77,3 +77,16 @@
 		}
 	}
 }
+
+// Guards against an overload that is not shed: the known capacity of the fleet follows the demand that proxies report, so one
+// report at the limit of what a platform's message may state makes it 1e7 requests/s, and each cut takes off a fifth of that.
+func TestOneLargeReportDoesNotStopAdmissionCuts(t *testing.T) {
+	f := startFleet(testSettings(), 8)
+	f.run(10, healthy)
+	f.planner.RecordDemandReport(0, 0, 1e7, 0, 1000)
+	f.run(20, healthy)
+	f.run(10, overloaded)
+	if rate := f.planner.admission[0].target; rate >= 1 {
+		t.Errorf("the admission rate is %g after 10 s of overload, want below 1", rate)
+	}
+}
