--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -130,12 +130,11 @@
 func (p *Proxy) outgoingRequest(
 	ctx context.Context, incoming *http.Request, body []byte, server string, attemptNumber int,
 ) (*http.Request, error) {
-	target := originForm(incoming.URL, server)
-	outgoing, err := http.NewRequestWithContext(ctx, incoming.Method, target.String(), bytes.NewReader(body))
+	outgoing, err := http.NewRequestWithContext(ctx, incoming.Method, "http://"+server, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
-	outgoing.URL = target
+	outgoing.URL = originForm(incoming.URL, server)
 	outgoing.Header = incoming.Header.Clone()
 	for _, name := range hopByHopHeaders {
 		outgoing.Header.Del(name)
