Policy: let a drain wait behind the backlog until 0.8 of the grace, not half of it

Cause: with the backlog counted against half the grace, drains there hardly ever wait to share a message, and their messages take the channel's reserve from tables.

Change: two conditions: half the grace, as ever, without the backlog; 0.8 of it (maxDrainArrivalShare) with the backlog. A drain that waited for half the grace then stands behind the backlog for the rest only if it arrives within 0.8.

--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -173,11 +173,12 @@
 	return mayUseReserve && p.spendBudget(entries, recipients, urgency)
 }
 
-// drainIsDue reports whether a drain must be sent now to reach proxies by half of the drain grace, even after all that waits in
-// the channel and the longest propagation.
+// drainIsDue reports whether a drain must be sent now: to reach proxies by half of the drain grace, even after the longest
+// propagation, or to reach them within the grace after all that waits in the channel.
 func (p *Policy) drainIsDue(server *server) bool {
-	arrivalMs := p.nowMs + p.queueMs() + p.settings.MaxPropagationMs
-	return arrivalMs >= server.leftReadyMs+p.settings.DrainGraceMs*maxDrainWaitShare
+	arrivalMs := p.nowMs - server.leftReadyMs + p.settings.MaxPropagationMs
+	return arrivalMs >= p.settings.DrainGraceMs*maxDrainWaitShare ||
+		arrivalMs+p.queueMs() >= p.settings.DrainGraceMs*maxDrainArrivalShare
 }
 
 // ejectionRecipients returns the proxies that an ejection or a readmission is to be sent to.
