Test of drains behind a backlog: state the backlog before the drain, and fail without the guard

Cause: the check of the test's own premise came after the decision, whose entries it counted; without the second condition of drainIsDue the test failed for the premise instead of the ejection.

Change: the premise is checked before the drain, with a channel of 8 entries a second, so that the backlog alone takes over 7 s.

--- a/policy/drain_test.go
+++ b/policy/drain_test.go
@@ -30,14 +30,14 @@
 	settings := testSettings()
 	settings.DrainGraceMs = 10000
 	settings.MaxMessages = 3
-	settings.EntriesPerSecond = 10 // the first tables take more than 7 s
+	settings.EntriesPerSecond = 8 // the first tables take more than 7 s
 	f := startFleet(settings, 8)
 	f.advance(400)
-	f.update(Endpoint{Server: "s3", Zone: 1, RelativeCapacity: 1, State: Draining})
-	f.decide()
 	if delayMs := f.planner.queueMs(); delayMs < 7000 || delayMs > settings.DrainGraceMs {
 		t.Fatalf("the channel takes %.0f ms for its backlog, so the test shows nothing", delayMs)
 	}
+	f.update(Endpoint{Server: "s3", Zone: 1, RelativeCapacity: 1, State: Draining})
+	f.decide()
 	if !f.ejected["s3"] {
 		t.Error("the ejection waits although it reaches proxies after more than 0.8 of the grace")
 	}
