--- a/policy/constants.go
+++ b/policy/constants.go
@@ -181,10 +181,7 @@
 	// maxDrainWaitShare is the share of the drain grace within which the ejection of a draining server must reach proxies. As
 	// long as that leaves time, the ejection may wait to share a message with other orders.
 	maxDrainWaitShare = 0.5
-	// maxDrainArrivalShare is the share of the drain grace within which the ejection of a draining server must reach proxies if
-	// it waits to share a message and then behind the backlog. The rest allows for a channel that is slower than stated.
-	maxDrainArrivalShare = 0.8
-	slowChannelFactor    = 6.0 // factor by which the channel drains more slowly while acknowledgements are late
+	slowChannelFactor = 6.0 // factor by which the channel drains more slowly while acknowledgements are late
 	// pollsUntilNotified is the largest number of polls of the endpoint list within Settings.AssumeNotifiedMs while no answer
 	// arrives.
 	pollsUntilNotified = 3
--- a/policy/drain_test.go
+++ b/policy/drain_test.go
@@ -39,6 +39,6 @@
 	f.update(Endpoint{Server: "s3", Zone: 1, RelativeCapacity: 1, State: Draining})
 	f.decide()
 	if !f.ejected["s3"] {
-		t.Error("the ejection waits although it reaches proxies after more than 0.8 of the grace")
+		t.Error("the ejection waits although it reaches proxies after more than half of the grace")
 	}
 }
--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -173,12 +173,11 @@
 	return mayUseReserve && p.spendBudget(entries, recipients, urgency)
 }
 
-// drainIsDue reports whether a drain must be sent now: to reach proxies by half of the drain grace, even after the longest
-// propagation, or to reach them within the grace after all that waits in the channel.
+// drainIsDue reports whether a drain must be sent now to reach proxies by half of the drain grace, even after all that waits in
+// the channel and the longest propagation.
 func (p *Policy) drainIsDue(server *server) bool {
-	arrivalMs := p.nowMs - server.leftReadyMs + p.settings.MaxPropagationMs
-	return arrivalMs >= p.settings.DrainGraceMs*maxDrainWaitShare ||
-		arrivalMs+p.queueMs() >= p.settings.DrainGraceMs*maxDrainArrivalShare
+	arrivalMs := p.nowMs + p.queueMs() + p.settings.MaxPropagationMs
+	return arrivalMs >= server.leftReadyMs+p.settings.DrainGraceMs*maxDrainWaitShare
 }
 
 // ejectionRecipients returns the proxies that an ejection or a readmission is to be sent to.
