--- a/internal/simulation/eventqueue.go
+++ b/internal/eventqueue/queue.go
@@ -1,32 +1,40 @@
-package simulation
+// Package eventqueue orders events by time, for models that run in simulated time or follow a real clock. It reads no clock and
+// starts no goroutine.
+package eventqueue
 
 import "container/heap"
 
-// eventQueue is the simulated clock of a run and the events scheduled on it. Events that are due at the same time happen in the
-// order in which they were scheduled. The zero value is at time 0 with no events.
-type eventQueue struct {
+// Queue is the clock of a run, in ms, and the events scheduled on it. Events that are due at the same time happen in the order in
+// which they were scheduled. The zero value is at time 0 with no events. A Queue is not safe for concurrent use.
+type Queue struct {
 	nowMs     float64
 	processed int    // number of events that have happened
 	lastEvent uint64 // sequence number of the event scheduled last; 0: none was scheduled yet
 	pending   eventHeap
 }
 
-// event is an action and the simulated time at which the action runs.
+// event is an action and the time at which the action runs.
 type event struct {
 	atMs   float64
 	number uint64 // sequence number; breaks ties between events due at the same time
 	action func()
 }
 
-// after schedules an action to run delayMs from now; a negative delay counts as 0.
-func (q *eventQueue) after(delayMs float64, action func()) {
+// NowMs returns the time of the event that runs, or the time that the last RunUntil has reached.
+func (q *Queue) NowMs() float64 { return q.nowMs }
+
+// Processed returns the number of events that have happened.
+func (q *Queue) Processed() int { return q.processed }
+
+// After schedules an action to run delayMs from now; a negative delay counts as 0.
+func (q *Queue) After(delayMs float64, action func()) {
 	q.lastEvent++
 	heap.Push(&q.pending, event{atMs: q.nowMs + max(delayMs, 0), number: q.lastEvent, action: action})
 }
 
-// runUntil runs all events due up to a time and advances the clock to that time. The events run include those that an event
+// RunUntil runs all events due up to a time and advances the clock to that time. The events run include those that an event
 // schedules during the call.
-func (q *eventQueue) runUntil(untilMs float64) {
+func (q *Queue) RunUntil(untilMs float64) {
 	for len(q.pending) > 0 && q.pending[0].atMs <= untilMs {
 		next := heap.Pop(&q.pending).(event)
 		q.nowMs = next.atMs
@@ -36,6 +44,14 @@
 	q.nowMs = untilMs
 }
 
+// NextMs returns the time of the next event, and false if no event is scheduled.
+func (q *Queue) NextMs() (float64, bool) {
+	if len(q.pending) == 0 {
+		return 0, false
+	}
+	return q.pending[0].atMs, true
+}
+
 // eventHeap implements heap.Interface, with the next event first.
 type eventHeap []event
 
--- a/internal/simulation/build.go
+++ b/internal/simulation/build.go
@@ -59,7 +59,7 @@
 	if err := settings.Parse("server of the simulation", []byte(settings.Format(set)), checked); err != nil {
 		return nil, err
 	}
-	added := newServer(&f.eventQueue, checked, zone, rand.New(rand.NewSource(f.random.Int63())))
+	added := newServer(&f.Queue, checked, zone, rand.New(rand.NewSource(f.random.Int63())))
 	f.servers = append(f.servers, added)
 	f.serversByAddress[added.address] = added
 	return added, nil
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -54,8 +54,8 @@
 
 // schedulePeriod schedules actions for the beginning and the end of a fault.
 func (f *fleet) schedulePeriod(when period, begin, end func()) {
-	f.after(when.startMs, begin)
-	f.after(when.startMs+when.lengthMs, end)
+	f.After(when.startMs, begin)
+	f.After(when.startMs+when.lengthMs, end)
 }
 
 // scheduleBurst schedules a period in which the request rate is multiplied by a factor.
@@ -69,7 +69,7 @@
 	var affected []*server
 	setHanging := func(hanging bool) {
 		for _, server := range affected {
-			server.hanging = hanging
+			server.Hanging = hanging
 		}
 	}
 	f.schedulePeriod(when, func() {
@@ -79,7 +79,7 @@
 	intervalMs := settings.Milliseconds(hang.Period)
 	for sinceMs := intervalMs; sinceMs > 0 && sinceMs < when.lengthMs; sinceMs += intervalMs {
 		hanging := int(sinceMs/intervalMs)%2 == 0
-		f.after(when.startMs+sinceMs, func() { setHanging(hanging) })
+		f.After(when.startMs+sinceMs, func() { setHanging(hanging) })
 	}
 }
 
@@ -88,7 +88,7 @@
 	var affected []*server
 	setSlowdown := func(factor float64) {
 		for _, server := range affected {
-			server.slowdown = factor
+			server.Slowdown = factor
 		}
 	}
 	f.schedulePeriod(when, func() {
@@ -102,7 +102,7 @@
 	}
 	for step := 1; step < gradualSteps; step++ {
 		factor := 1 + (slow.GetFactor()-1)*float64(step)/gradualSteps
-		f.after(when.startMs+when.lengthMs*float64(step)/gradualSteps, func() { setSlowdown(factor) })
+		f.After(when.startMs+when.lengthMs*float64(step)/gradualSteps, func() { setSlowdown(factor) })
 	}
 }
 
@@ -114,14 +114,14 @@
 	f.schedulePeriod(when, func() {
 		affected = f.drawServers(count, eligible)
 		for _, server := range affected {
-			server.stop()
+			server.Stop()
 		}
 		if listed {
 			f.publishEndpoints(affected...)
 		}
 	}, func() {
 		for _, server := range affected {
-			server.start()
+			server.Start()
 		}
 		f.publishEndpoints(affected...)
 	})
@@ -132,7 +132,7 @@
 	count := int(deploy.GetServers())
 	drainMs := settings.Milliseconds(deploy.Drain)
 	for number := range count {
-		f.after(when.startMs+when.lengthMs*float64(number)/float64(count), func() { f.replaceServer(drainMs) })
+		f.After(when.startMs+when.lengthMs*float64(number)/float64(count), func() { f.replaceServer(drainMs) })
 	}
 }
 
@@ -144,11 +144,11 @@
 			f.err = err
 			return
 		}
-		next.start()
+		next.Start()
 		old.draining = true
 		f.publishEndpoints(old, next)
-		f.after(drainMs, func() {
-			old.stop()
+		f.After(drainMs, func() {
+			old.Stop()
 			f.publishEndpoints(old)
 		})
 	}
@@ -165,7 +165,7 @@
 	var drawn []*server
 	for _, n := range f.random.Perm(len(f.servers)) {
 		candidate := f.servers[n]
-		if len(drawn) == count || candidate.stopped || candidate.draining {
+		if len(drawn) == count || candidate.Stopped() || candidate.draining {
 			continue
 		}
 		if eligible == nil || eligible(candidate) {
--- a/internal/simulation/planner.go
+++ b/internal/simulation/planner.go
@@ -60,11 +60,11 @@
 // sendEndpoints passes the present state of the given servers to the planner core after delayMs.
 func (p *simulatedPlanner) sendEndpoints(delayMs float64, kind policy.UpdateKind, servers []*server) {
 	f := p.fleet
-	update := discovery.Update{Kind: kind, AsOfMs: uint64(runStartUnixMs + f.nowMs)}
+	update := discovery.Update{Kind: kind, AsOfMs: uint64(runStartUnixMs + f.NowMs())}
 	for _, server := range servers {
 		update.Endpoints = append(update.Endpoints, f.endpointOf(server))
 	}
-	f.after(delayMs, func() {
+	f.After(delayMs, func() {
 		p.handle(func() { p.core.UpdateEndpoints(update) })
 	})
 }
@@ -75,15 +75,15 @@
 	endpoint := discovery.Endpoint{
 		Server:           server.address,
 		Zone:             f.script.Places[server.zone].Name,
-		RelativeCapacity: float64(server.settings.GetCores()),
+		RelativeCapacity: float64(server.Settings().GetCores()),
 	}
 	switch {
-	case server.stopped:
+	case server.Stopped():
 		endpoint.State = policy.Removed
 	case server.draining:
 		endpoint.State = policy.Draining
 	}
-	if startedMs := server.warmUp.StartedMs(); startedMs > 0 {
+	if startedMs := server.WarmUp().StartedMs(); startedMs > 0 {
 		endpoint.StartedUnixMs = uint64(runStartUnixMs + startedMs)
 	}
 	return endpoint
@@ -91,7 +91,7 @@
 
 // handle passes an input to the core at the current time, and carries out the decisions that follow.
 func (p *simulatedPlanner) handle(input func()) {
-	nowMs := p.fleet.nowMs
+	nowMs := p.fleet.NowMs()
 	p.core.SetTime(nowMs, time.UnixMilli(int64(runStartUnixMs+nowMs)))
 	input()
 	for p.core.Next(p) {
@@ -101,7 +101,7 @@
 // SetTimer schedules a call of the core at a time, and replaces an earlier timer. It implements planner.Host.
 func (p *simulatedPlanner) SetTimer(atMs float64) {
 	p.timerMs = atMs
-	p.fleet.after(atMs-p.fleet.nowMs, func() {
+	p.fleet.After(atMs-p.fleet.NowMs(), func() {
 		if p.timerMs == atMs {
 			p.handle(func() {})
 		}
@@ -111,14 +111,14 @@
 // Send delivers a message to a proxy after frameDelayMs. It implements planner.Host.
 func (p *simulatedPlanner) Send(stream *planner.Stream, _ controlstream.FrameKind, message proto.Message) {
 	proxy := stream.Transport.(*simulatedProxy)
-	p.fleet.after(frameDelayMs, func() { proxy.receive(message) })
+	p.fleet.After(frameDelayMs, func() { proxy.receive(message) })
 }
 
 // Close records an error that fails the run, because no stream should be closed in a simulation. It implements planner.Host.
 func (p *simulatedPlanner) Close(stream *planner.Stream, reason *controlstream.CloseError) {
 	f := p.fleet
 	if f.err == nil {
-		f.err = fmt.Errorf("at %.0f ms the planner closed the stream of %s: %w", f.nowMs, stream.Name(), reason)
+		f.err = fmt.Errorf("at %.0f ms the planner closed the stream of %s: %w", f.NowMs(), stream.Name(), reason)
 	}
 }
 
--- a/internal/simulation/play.go
+++ b/internal/simulation/play.go
@@ -10,6 +10,7 @@
 	"math"
 	"math/rand"
 
+	"lichenpick/internal/eventqueue"
 	"lichenpick/internal/fake"
 	"lichenpick/internal/settings"
 	"lichenpick/proto/script"
@@ -31,7 +32,7 @@
 
 // fleet is the state of one run of a script.
 type fleet struct {
-	eventQueue
+	eventqueue.Queue
 	script  *script.Script
 	random  *rand.Rand
 	planner *simulatedPlanner
@@ -67,8 +68,8 @@
 	}
 	f.result.Classes = make([]fake.Tally, len(scenario.Groups))
 	f.result.Seconds = make([]fake.Tally, int(lengthMs/1000)+1)
-	f.after(warmupMs, func() { f.scheduleRequest(warmupMs, warmupMs+lengthMs) })
-	f.runUntil(warmupMs + lengthMs + longestDeadline(scenario) + cooldownMs)
+	f.After(warmupMs, func() { f.scheduleRequest(warmupMs, warmupMs+lengthMs) })
+	f.RunUntil(warmupMs + lengthMs + longestDeadline(scenario) + cooldownMs)
 	if f.err != nil {
 		return nil, f.err
 	}
@@ -95,7 +96,7 @@
 	}
 	f.result.Service = value / math.Max(maxValue, 1e-9)
 	for _, server := range f.servers {
-		f.result.ColdOverloads += server.warmUp.Overloads()
+		f.result.ColdOverloads += server.WarmUp().Overloads()
 	}
-	f.result.Events = f.processed
+	f.result.Events = f.Processed()
 }
--- a/internal/simulation/proxy.go
+++ b/internal/simulation/proxy.go
@@ -60,10 +60,10 @@
 		Stream:      1,
 		Groups:      uint32(len(f.script.Groups)),
 	}
-	f.after(firstJoinMs+f.random.Float64()*joinSpreadMs, func() {
+	f.After(firstJoinMs+f.random.Float64()*joinSpreadMs, func() {
 		f.planner.handle(func() { f.planner.core.HandleJoin(added.stream, join) })
 	})
-	f.after(f.random.Float64()*added.reportIntervalMs, added.sendReport)
+	f.After(f.random.Float64()*added.reportIntervalMs, added.sendReport)
 	return nil
 }
 
@@ -82,7 +82,7 @@
 	default:
 		return
 	}
-	f.after(frameDelayMs, func() {
+	f.After(frameDelayMs, func() {
 		f.planner.handle(func() { f.planner.core.HandleAck(p.stream, ack) })
 	})
 }
@@ -90,9 +90,9 @@
 // sendReport sends a load report and schedules the next one.
 func (p *simulatedProxy) sendReport() {
 	f := p.fleet
-	report := p.core.TakeLoadReport(f.nowMs)
-	f.after(frameDelayMs, func() {
+	report := p.core.TakeLoadReport(f.NowMs())
+	f.After(frameDelayMs, func() {
 		f.planner.handle(func() { f.planner.core.HandleLoadReport(p.stream, report) })
 	})
-	f.after(p.reportIntervalMs, p.sendReport)
+	f.After(p.reportIntervalMs, p.sendReport)
 }
--- a/internal/simulation/requests.go
+++ b/internal/simulation/requests.go
@@ -33,16 +33,16 @@
 // load.
 func (f *fleet) scheduleRequest(loadStartMs, loadEndMs float64) {
 	rate := settings.PerSecond(f.script.Traffic.Rate) * math.Max(f.rateFactor, minRateFactor)
-	f.after(f.random.ExpFloat64()/rate*1000, func() {
-		if f.nowMs >= loadEndMs {
+	f.After(f.random.ExpFloat64()/rate*1000, func() {
+		if f.NowMs() >= loadEndMs {
 			return
 		}
 		class := f.drawClass()
 		proxy := f.drawProxy()
 		f.sendRequest(proxy, &clientRequest{
 			class:     class,
-			startMs:   f.nowMs,
-			second:    int((f.nowMs - loadStartMs) / 1000),
+			startMs:   f.NowMs(),
+			second:    int((f.NowMs() - loadStartMs) / 1000),
 			backoffMs: settings.Milliseconds(f.script.Traffic.Pause),
 		})
 		f.scheduleRequest(loadStartMs, loadEndMs)
@@ -66,7 +66,7 @@
 // sendRequest sends a request to a proxy, which admits or rejects it.
 func (f *fleet) sendRequest(to *simulatedProxy, request *clientRequest) {
 	request.timesSent++
-	admitted, ok := to.core.Admit(f.nowMs, request.class)
+	admitted, ok := to.core.Admit(f.NowMs(), request.class)
 	if !ok {
 		f.finishRequest(request, fake.Rejected)
 		return
@@ -77,20 +77,20 @@
 // attempt starts the next attempt of an admitted request and the timeout of that attempt.
 func (p *simulatedProxy) attempt(request *clientRequest, admitted *proxy.Request) {
 	f := p.fleet
-	address, timeoutMs, ok := p.core.Pick(f.nowMs, admitted)
+	address, timeoutMs, ok := p.core.Pick(f.NowMs(), admitted)
 	if !ok {
 		p.core.RecordNoServer(admitted)
 		f.finishRequest(request, fake.NoServer)
 		return
 	}
-	startMs := f.nowMs
+	startMs := f.NowMs()
 	finished := false
 	finish := func(outcome proxy.Outcome) {
 		if finished {
 			return
 		}
 		finished = true
-		retry := p.core.FinishAttempt(f.nowMs, admitted, address, outcome, f.nowMs-startMs)
+		retry := p.core.FinishAttempt(f.NowMs(), admitted, address, outcome, f.NowMs()-startMs)
 		switch {
 		case outcome == proxy.Succeeded:
 			f.finishRequest(request, fake.Succeeded)
@@ -100,27 +100,28 @@
 			f.finishRequest(request, fake.Failed)
 		}
 	}
-	f.after(math.Max(timeoutMs, minAttemptMs), func() { finish(proxy.Failed) })
-	f.after(requestDelayMs, func() { f.deliver(address, finish) })
+	f.After(math.Max(timeoutMs, minAttemptMs), func() { finish(proxy.Failed) })
+	f.After(requestDelayMs, func() { f.deliver(address, finish) })
 }
 
 // deliver passes an attempt to the server at an address, and calls finish when the answer has reached the proxy.
 func (f *fleet) deliver(address string, finish func(proxy.Outcome)) {
 	respond := func(outcome proxy.Outcome) {
-		f.after(requestDelayMs, func() { finish(outcome) })
+		f.After(requestDelayMs, func() { finish(outcome) })
 	}
 	server := f.serversByAddress[address]
 	if server == nil { // no server has this address: the connection is refused
 		respond(proxy.Unprocessed)
 		return
 	}
-	server.receive(&attempt{finish: func(reply serverReply) {
+	workMs := fake.DrawWork(server.Settings(), server.random)
+	server.Receive(&fake.Attempt{WorkMs: workMs, Finish: func(reply fake.Reply) {
 		switch reply {
-		case replySucceeded:
+		case fake.ReplySucceeded:
 			respond(proxy.Succeeded)
-		case replyUnprocessed:
+		case fake.ReplyUnprocessed:
 			respond(proxy.Unprocessed)
-		case replyNone: // the timeout at the proxy ends the attempt
+		case fake.ReplyNone: // the timeout at the proxy ends the attempt
 		}
 	}})
 }
@@ -129,11 +130,11 @@
 // and otherwise records the outcome.
 func (f *fleet) finishRequest(request *clientRequest, outcome fake.Outcome) {
 	class := f.script.Groups[request.class]
-	tookMs := f.nowMs - request.startMs
+	tookMs := f.NowMs() - request.startMs
 	if f.mayRetry(request, class, outcome, tookMs) {
 		waitMs := request.backoffMs * (0.5 + f.random.Float64())
 		request.backoffMs *= 2
-		f.after(waitMs, func() { f.sendRequest(f.drawProxy(), request) })
+		f.After(waitMs, func() { f.sendRequest(f.drawProxy(), request) })
 		return
 	}
 	f.result.Classes[request.class].Record(class, outcome, tookMs)
