Log changes of servers, solves and closes of joined connections

Change: policy.Observer, internal/decisionlog for both front ends; closes of joined connections on the level info, at most 20 a second.

--- a/internal/planner/policysettings.go
+++ b/internal/planner/policysettings.go
@@ -14,7 +14,9 @@
 }
 
 // NewPolicy returns a policy for settings that were checked by package settings.
-func NewPolicy(set *pb.Planner) Decider { return policy.New(policySettings(set), int64(set.GetSeed())) }
+func NewPolicy(set *pb.Planner) *policy.Policy {
+	return policy.New(policySettings(set), int64(set.GetSeed()))
+}
 
 // policySettings translates checked planner settings into those of the policy.
 func policySettings(set *pb.Planner) policy.Settings {
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -14,6 +14,7 @@
 
 	"lichenpick/internal/clock"
 	"lichenpick/internal/controlstream"
+	"lichenpick/internal/decisionlog"
 	"lichenpick/internal/discovery"
 	"lichenpick/internal/settings"
 	"lichenpick/internal/store"
@@ -86,7 +87,9 @@
 // newServer returns a server that is not running. Its core has no endpoints and no proxies.
 func newServer(o Options) *server {
 	if o.Decider == nil {
-		o.Decider = NewPolicy(o.Settings)
+		decider := NewPolicy(o.Settings)
+		decider.SetObserver(decisionlog.New(o.Log))
+		o.Decider = decider
 	}
 	core := NewCore(o.Settings, o.Decider, newIncarnation(), o.Clock.Monotonic())
 	s := &server{
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -131,6 +131,9 @@
 	return true
 }
 
+// SetObserver sets an observer of what the policy decides about servers, which may be nil.
+func (c *Core) SetObserver(observer policy.Observer) { c.policy.SetObserver(observer) }
+
 // WriteState writes the state of the policy for a trace, followed by the backlog of the channel and, for each server, its
 // state, whether it is ejected, and the requests, failures and mean latency that were reported since the last call of
 // WriteState. It stops at the first write error.
--- a/internal/platform/runtime.go
+++ b/internal/platform/runtime.go
@@ -11,8 +11,10 @@
 	"sync"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"lichenpick/internal/clock"
+	"lichenpick/internal/decisionlog"
 	"lichenpick/policy"
 )
 
@@ -27,6 +29,7 @@
 	defaultConnections   = 1 << 20   // connection limit if the configuration has no limit of descriptors
 	maxLingering         = 8         // closed connections, not counted for the limit, that may stay open for their last messages
 	bytesPerMB           = 1 << 20
+	closesLoggedPerS     = 20 // closed connections that are logged per second on the level info
 )
 
 // Options configure Run. All fields but Ready and Trace must be set.
@@ -52,6 +55,7 @@
 	maxConnections      int
 	maxTotalUnsentBytes int           // upper limit of unsentBytes
 	workReady           chan struct{} // holds one element while there are inputs to evaluate
+	closeLogLimit       *rate.Limiter // of closed connections logged on the level info
 	tasks               sync.WaitGroup
 	schedule            decisionSchedule // owned by the goroutine of decide
 
@@ -109,6 +113,7 @@
 		maxTotalUnsentBytes: max(memoryBytes/unsentMemoryDivisor, maxUnsentBytes),
 		workReady:           make(chan struct{}, 1),
 		streams:             map[*Connection]*stream{},
+		closeLogLimit:       rate.NewLimiter(closesLoggedPerS, closesLoggedPerS),
 	}
 	if config.MaxDescriptors > 0 {
 		s.maxConnections = max(config.MaxDescriptors-reservedDescriptors, minConnections)
@@ -119,6 +124,7 @@
 		s.Log.Debug(logMessageRejected, keyError, err, keyMessage, string(line))
 	}
 	s.core.UpdateEndpoints(policy.RestoredUpdate, config.KnownEndpoints)
+	s.core.SetObserver(decisionlog.New(s.Log))
 	return s
 }
 
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -1,9 +1,12 @@
 package platform
 
 import (
+	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
+	"time"
 )
 
 const readBufferBytes = 2048 // bytes of the read buffer of a connection; messages are short
@@ -151,12 +154,18 @@
 	s.setFlushDeadline(t)
 }
 
+// logClose logs that the planner closes a connection: on the level info if the connection has joined, up to a rate, as a single
+// peer may cause any number of closes, and on the level debug otherwise.
 func (s *serverRuntime) logClose(connection *Connection, reason CloseReason, cause error) {
 	attributes := []any{keyReason, reason, keyJoined, !connection.Unjoined()}
 	if cause != nil {
 		attributes = append(attributes, keyError, cause)
 	}
-	s.Log.Debug("connection closed", attributes...)
+	level := slog.LevelDebug
+	if !connection.Unjoined() && s.closeLogLimit.AllowN(time.UnixMilli(int64(s.nowMs())), 1) {
+		level = slog.LevelInfo
+	}
+	s.Log.Log(context.Background(), level, "connection closed", attributes...)
 }
 
 // SetTimer implements Host: it sets the time of the next evaluation if there is no input. The caller holds the lock.
--- a/policy/host.go
+++ b/policy/host.go
@@ -69,6 +69,11 @@
 	Removed
 )
 
+var stateNames = map[State]string{Ready: "ready", Draining: "draining", Removed: "removed"}
+
+// String returns the state in lower case.
+func (s State) String() string { return stateNames[s] }
+
 // Endpoint is a server in the endpoint list.
 type Endpoint struct {
 	Server           string // name of the server
--- a/policy/inputs.go
+++ b/policy/inputs.go
@@ -77,7 +77,7 @@
 	}
 	for _, server := range p.servers {
 		if kind != DeltaUpdate && !seen[server] {
-			p.setState(server, Removed)
+			p.remove(server)
 		}
 	}
 	p.forgetRemoved()
@@ -85,6 +85,8 @@
 
 func (p *Policy) updateEndpoint(kind UpdateKind, endpoint Endpoint) *server {
 	known := p.byName[endpoint.Server]
+	reason := ChangeListed
+	changed := known == nil || known.State != endpoint.State
 	if known == nil {
 		known = &server{
 			discoveredLate: kind != RestoredUpdate && p.solves > 0,
@@ -96,13 +98,27 @@
 		p.servers = append(p.servers, known)
 	} else if endpoint.StartedMs > known.StartedMs {
 		p.restartServer(known, endpoint.StartedMs)
+		reason = ChangeRestarted
+		changed = true
 	}
 	p.setState(known, endpoint.State)
 	known.Endpoint = endpoint
 	known.RelativeCapacity = limit(endpoint.RelativeCapacity, minRelativeCapacity, maxRelativeCapacity)
+	if changed {
+		p.observeChange(known, reason)
+	}
 	return known
 }
 
+// remove records that a complete list does not hold a server.
+func (p *Policy) remove(server *server) {
+	if server.State == Removed {
+		return
+	}
+	p.setState(server, Removed)
+	p.observeChange(server, ChangeListed)
+}
+
 // setState records a change of a server's state in the list. If the server was ejected while ready, proxies whose tables it
 // was added to since then may not have been notified of the ejection. So the server counts as not ejected, and its drain
 // ejects it at all proxies that hold it. The drain grace of a server that drained and is now removed goes on: it started when
--- a/policy/outliers.go
+++ b/policy/outliers.go
@@ -43,6 +43,7 @@
 			server.unhealthyUntilMs = p.nowMs + p.settings.ColdOverloadWindowMs
 			p.serversChanged = true
 			ejected++
+			p.observeChange(server, ChangeHeldBack)
 		case p.evidence(server) >= ejectionThreshold && ejected <= maxEjectedShare*size:
 			p.eject(server)
 			ejected++
@@ -65,6 +66,7 @@
 	server.evidenceFromMs = p.nowMs
 	server.ejections++
 	p.serversChanged = true
+	p.observeChange(server, ChangeEjected)
 }
 
 // evidence returns a CUSUM of log-likelihood ratios, in nats, that a server is dead rather than healthy: from its failures,
--- a/policy/records.go
+++ b/policy/records.go
@@ -152,6 +152,7 @@
 	server.evidenceFromMs = p.nowMs
 	server.readmittedMs = p.nowMs
 	p.serversChanged = true
+	p.observeChange(server, ChangeReadmitted)
 }
 
 // inDrainGrace reports whether proxies may still send to a draining or removed server.
--- a/policy/state.go
+++ b/policy/state.go
@@ -121,6 +121,7 @@
 // lock: only one goroutine at a time may call it. All times are in ms of the clock that SetTime follows.
 type Policy struct {
 	settings Settings
+	observer Observer
 	random   *rand.Rand // for the random waits between polls
 	nowMs    float64
 	servers  []*server // known servers, in order of discovery
--- a/policy/tables.go
+++ b/policy/tables.go
@@ -21,6 +21,7 @@
 	p.evaluate() // evaluated again, as ejections may have reset load reports, and admission rates may have changed
 	p.split(servers, p.serversChanged)
 	p.recordSolve()
+	p.observeSolve()
 	for _, table := range p.tables {
 		table.due = table.due || table.number%minCohorts == p.solves%minCohorts
 	}
--- a/policy/view.go
+++ b/policy/view.go
@@ -27,7 +27,7 @@
 }
 
 func (p *Policy) writeServer(text *strings.Builder, server *server) {
-	target := sumBy(server.entries, func(entry *entry) float64 { return entry.target * entry.table.rate })
+	target := server.plannedRate()
 	sent := sumBy(server.entries, func(entry *entry) float64 { return entry.sent * entry.table.rate })
 	fmt.Fprintf(text, "server %s zone=%d state=%d unhealthy=%t ejected=%t cold=%t ramp=%.2f capacity=%.2f",
 		server.Server, server.Zone, server.State, server.unhealthy, server.ejected,
