--- /dev/null
+++ b/internal/fakeplatform/rules.go
@@ -0,0 +1,43 @@
+package fakeplatform
+
+import "lichenpick/policy"
+
+// socketSlackMs is by how much the time limits of rules are longer than the settings say.
+const socketSlackMs = 300.0
+
+// checkDrain checks the rule on drains when a proxy sends to a server.
+func (x *proxy) checkDrain(server *server) {
+	p := x.platform
+	if x.slot == nil || server.listed == policy.Ready {
+		return
+	}
+	notifiedMs, notified := x.slot.notifiedMs[server.leftReadyVersion]
+	lateMs := p.NowMs() - max(notifiedMs, x.joinedMs)
+	if notified && lateMs > p.config.DrainGraceMs+socketSlackMs {
+		p.violate("proxy %d sent to %s, %.0f ms after planner %d was told that it drains", x.id, server.name, lateMs, x.slot.number)
+	}
+}
+
+// checkUnserved checks, when a proxy has no server to pick for a class, the rule on proxies without one.
+func (x *proxy) checkUnserved(class int) {
+	p := x.platform
+	if x.slot == nil || x.slot.process == nil || !p.anyWarm() {
+		x.unservedMs[class] = p.NowMs()
+		return
+	}
+	x.unservedMs[class] = max(x.unservedMs[class], x.joinedMs)
+	if lateMs := p.NowMs() - x.unservedMs[class]; lateMs > p.config.MaxUnservedMs+socketSlackMs {
+		p.violate("proxy %d has had no server to pick for %.0f ms", x.id, lateMs)
+		x.unservedMs[class] = p.NowMs() // counted once
+	}
+}
+
+// anyWarm reports whether the list shows a ready server that started long enough ago to be warm.
+func (p *Platform) anyWarm() bool {
+	for _, server := range p.servers {
+		if server.listed == policy.Ready && (server.listedStartMs == 0 || p.NowMs()-server.listedStartMs >= p.config.WarmUpMs) {
+			return true
+		}
+	}
+	return false
+}
