--- a/policy/drain_test.go
+++ b/policy/drain_test.go
@@ -42,3 +42,28 @@
 		t.Error("the ejection waits although it reaches proxies after more than half of the grace")
 	}
 }
+
+// Guards against a broken drain rule: while no server was usable, nothing was solved, and weights of the last solve that had waited
+// were sent for servers that had begun to drain since.
+func TestWaitingWeightsOfDrainingServersAreNotSent(t *testing.T) {
+	const servers = 6
+	f := startFleet(testSettings(), servers)
+	f.run(3, healthy)
+	added := f.planner.byName["s5"]
+	f.planner.split(filter(f.planner.servers, (*server).usable), true)
+	for _, entry := range added.entries { // not sent yet, as if there had been no room in the channel
+		entry.sent = 0
+		entry.table.due = true
+		f.weights[entry.table.number]["s5"] = 0
+	}
+	for _, endpoint := range readyServers(servers) {
+		endpoint.State = Draining
+		f.update(endpoint)
+	}
+	f.run(8, healthy)
+	for table, weights := range f.weights {
+		if weights["s5"] > 0 {
+			t.Errorf("table %d got a weight of a server after its drain was listed", table)
+		}
+	}
+}
