Policy: limit admission to what servers in slow start bear, keep them in use when few are warm

What callers saw: in a release, servers in slow start got 2.5 times what they can do for 3 s and failed; 15 to 50 % of all requests failed or were rejected beside. Cause: weights are relative, and a table sends all requests to whatever is left in it. With most of the fleet cold or draining, (1) cold servers were ejected while demand was uncertain, up to 80 % of the fleet by count, taking the rest as warm; (2) the few that were left, warm or cold, got all requests, as the split scales their shares up to the demand; nothing limited the sum. In the release of all servers s-25 was sent 150 requests per second at a capacity of 16. Cold servers are held back only while a third of the ready capacity is warm; while some usable server is cold, the sum of what servers bear limits admission; such cuts go with the urgency of a rule. The limit rests on the highest rate served, so it survives the loss of most servers. Class: a relative weight taken for an absolute one.

--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -11,17 +11,18 @@
 
 // Keys of log attributes.
 const (
-	keyAdmittedRate = "admitted_per_s"
-	keyAge          = "age_ms"
-	keyCold         = "cold"
-	keyColdShare    = "cold_share"
-	keyDemandRate   = "demand_per_s"
-	keyEjected      = "ejected_ms"
-	keyReason       = "reason"
-	keyServer       = "server"
-	keyState        = "state"
-	keyUnhealthy    = "unhealthy"
-	keyWarm         = "warm"
+	keyAdmittedRate  = "admitted_per_s"
+	keyAge           = "age_ms"
+	keyBearableShare = "bearable_share"
+	keyCold          = "cold"
+	keyColdShare     = "cold_share"
+	keyDemandRate    = "demand_per_s"
+	keyEjected       = "ejected_ms"
+	keyReason        = "reason"
+	keyServer        = "server"
+	keyState         = "state"
+	keyUnhealthy     = "unhealthy"
+	keyWarm          = "warm"
 )
 
 // Observer logs the decisions of a policy.
@@ -58,6 +59,7 @@
 		keyColdShare, roundTo2(summary.ColdShare),
 		keyDemandRate, math.Round(summary.DemandRate),
 		keyAdmittedRate, math.Round(summary.AdmittedRate),
+		keyBearableShare, roundTo2(summary.BearableShare),
 	)
 }
 
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -15,11 +15,11 @@
 	observer.ServerChanged(policy.ServerChange{Server: "s-1", Reason: policy.ChangeHeldBack, AgeMs: 2500, EjectedMs: 3000})
 	observer.ServerChanged(policy.ServerChange{Server: "s-2", Reason: policy.ChangeListed, State: policy.Draining, AgeMs: math.Inf(1)})
 	observer.Solved(policy.SolveSummary{Warm: 3, DemandRate: 10, AdmittedRate: 10})
-	observer.Solved(policy.SolveSummary{Warm: 3, Cold: 1, ColdShare: 0.126, DemandRate: 10, AdmittedRate: 9.6})
+	observer.Solved(policy.SolveSummary{Warm: 3, Cold: 1, ColdShare: 0.126, DemandRate: 10, AdmittedRate: 9.6, BearableShare: 1})
 	want := []string{
 		`msg="server changed" server=s-1 reason=held_back_cold state=ready age_ms=2500 ejected_ms=3000`,
 		`msg="server changed" server=s-2 reason=listed state=draining`,
-		`msg="tables solved" warm=3 cold=1 unhealthy=0 cold_share=0.13 demand_per_s=10 admitted_per_s=10`,
+		`msg="tables solved" warm=3 cold=1 unhealthy=0 cold_share=0.13 demand_per_s=10 admitted_per_s=10 bearable_share=1`,
 	}
 	lines := strings.Split(strings.TrimSpace(text.String()), "\n")
 	if len(lines) != len(want) {
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -43,12 +43,25 @@
 		return
 	}
 	p.admissionMs = p.nowMs
-	demand := sumBy(p.admission, func(class admission) float64 { return class.demand })
+	demand := p.totalDemand()
 	if demand == 0 || p.latencyMs == 0 {
 		return
 	}
+	p.adjustAdmission(demand)
+}
+
+// totalDemand returns the requests per second that come to the proxies, before admission.
+func (p *Policy) totalDemand() float64 {
+	return sumBy(p.admission, func(class admission) float64 { return class.demand })
+}
+
+// adjustAdmission adjusts the admitted share of all requests, down in an overload and up after it.
+func (p *Policy) adjustAdmission(demand float64) {
 	load := p.fleetLoad()
 	share := p.admittedRate / demand
+	if p.admissionLimited {
+		share = p.unlimitedShare
+	}
 	switch {
 	case load.overloaded():
 		// The succeeded rate is the capacity of the fleet; admitting less drains the overload. The next step is delayed, as
@@ -62,6 +75,7 @@
 		increased := share * (1 + admissionIncrease*(1-load.waitRatio/recoveryThreshold))
 		share = math.Max(increased, math.Min(p.capacityRate*admittedCapacityShare/demand, 1))
 	}
+	p.unlimitedShare = math.Min(share, 1)
 	p.shed(math.Max(1-share, 0) * demand)
 }
 
@@ -81,9 +95,13 @@
 // may run a request twice, needs no budget.
 func (p *Policy) planAdmission() {
 	for index := range p.admission {
+		urgency := urgent
+		if p.admissionLimited && p.admission[index].target < p.admission[index].sent {
+			urgency = required // servers in slow start fail if they get too much
+		}
 		p.enqueue(func(host Host) bool {
 			class := &p.admission[index]
-			if class.target == class.sent || class.sent >= 0 && !p.spendBudget(1, p.proxies, urgent) {
+			if class.target == class.sent || class.sent >= 0 && !p.spendBudget(1, p.proxies, urgency) {
 				return false
 			}
 			class.sent = class.target
--- a/policy/constants.go
+++ b/policy/constants.go
@@ -133,11 +133,20 @@
 	// without evidence against it.
 	ejectionMs    = 5000.0
 	maxEjectionMs = 20000.0 // ms of the longest ejection, which is as long as the longest hangs of servers
-	// maxColdEjectedShare is the share of the fleet above which no more cold servers are ejected. The rest of the fleet is
-	// warm.
-	maxColdEjectedShare = 0.8
-	newProxyDivisor     = 3   // demand is uncertain when more than 1/newProxyDivisor of the proxies are new
-	recoveryShare       = 0.2 // share of its capacity with which a readmitted server starts, at little risk
+	// minWarmShare is the least share of the capacity of ready servers that must be warm and usable for cold servers to be
+	// ejected.
+	minWarmShare = 0.33
+	// coldLoadFactor is the multiple of its share of the highest rate that the fleet has served that a cold server may be sent.
+	coldLoadFactor = 2.0
+	// warmLoadFactor is the same for a warm server, while some of the fleet is in slow start.
+	warmLoadFactor = 3.0
+	// maxBearableShare is the share of the demand from which on servers bear all of it: ADMM leaves small excesses.
+	maxBearableShare = 0.95
+	servedPeriodMs   = 600e3 // ms for which the highest rate that the fleet has served is kept, at least
+	// minJoinedFraction is the least part of all proxies that must have joined for their requests to show what the fleet serves.
+	minJoinedFraction = 0.1
+	newProxyDivisor   = 3   // demand is uncertain when more than 1/newProxyDivisor of the proxies are new
+	recoveryShare     = 0.2 // share of its capacity with which a readmitted server starts, at little risk
 	// recoveryDoublingMs is the time in ms in which the share of its capacity that a readmitted server is assigned doubles.
 	// The server is assigned its full capacity after some three report intervals.
 	recoveryDoublingMs = 1500.0
--- a/policy/inputs.go
+++ b/policy/inputs.go
@@ -19,6 +19,7 @@
 		byID:           map[int]*proxy{},
 		pollBackoff:    pollBackoffMs,
 		serversChanged: true,
+		bearableShare:  1,
 		solvedMs:       unset,
 		admissionMs:    unset,
 		evaluatedMs:    unset,
--- a/policy/measurements.go
+++ b/policy/measurements.go
@@ -24,6 +24,7 @@
 		p.countDemand(proxy)
 	}
 	p.updateLatencyObjective()
+	p.updateServedRate()
 }
 
 // updateReportRound sets the duration of a round of load reports, in which each server reports once, and from it the age up
--- a/policy/observer.go
+++ b/policy/observer.go
@@ -48,6 +48,7 @@
 	ColdShare             float64 // share of the requests that tables are to send to servers in slow start
 	DemandRate            float64 // requests per second that came to the proxies
 	AdmittedRate          float64 // requests per second that are to be admitted
+	BearableShare         float64 // share of these that the servers can bear, as far as servers in slow start limit it
 }
 
 // SetObserver sets the observer, which may be nil.
@@ -73,7 +74,7 @@
 	if p.observer == nil {
 		return
 	}
-	summary := SolveSummary{AdmittedRate: p.admittedRate}
+	summary := SolveSummary{AdmittedRate: p.admittedRate, BearableShare: p.bearableShare}
 	for _, class := range p.admission {
 		summary.DemandRate += class.demand
 	}
--- a/policy/outliers.go
+++ b/policy/outliers.go
@@ -31,13 +31,13 @@
 	fleet := filter(p.servers, verified)
 	size := float64(len(fleet))
 	ejected := float64(1 + len(fleet) - len(filter(fleet, (*server).usable))) // ejected servers after one more ejection
-	uncertain := p.demandUncertain()
+	holdBackCold := p.demandUncertain() && p.mayHoldBackCold()
 	for _, server := range p.servers {
 		switch {
 		case server.State != Ready || server.unhealthy && p.nowMs < server.unhealthyUntilMs:
 		case server.unhealthy:
 			p.readmit(server)
-		case p.cold(server) && uncertain && ejected <= maxColdEjectedShare*size:
+		case p.cold(server) && holdBackCold:
 			// Proxies avoid servers that fail and try others, so that a cold server would get too many requests.
 			server.unhealthy = true
 			server.unhealthyUntilMs = p.nowMs + p.settings.ColdOverloadWindowMs
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -12,6 +12,7 @@
 		p.updateEjections()
 		p.updateAdmissionIfDue()
 		p.solveIfDue()
+		p.limitAdmission()
 		p.plan()
 	}
 	for len(p.pendingDecisions) > 0 {
--- a/policy/problem.go
+++ b/policy/problem.go
@@ -12,6 +12,7 @@
 	D        []float64   // demand of each client, 1 on average
 	C        []float64   // capacity of each server in the unit of D
 	capacity float64     // sum of C
+	demand   float64     // admitted requests per second of the proxies of this planner
 	cost     [][]float64 // L of the paper, by i and j; infinite where the client may not use the server
 	cells    [][]cell
 }
@@ -22,6 +23,7 @@
 	problem := splitProblem{
 		servers: servers,
 		clients: clients,
+		demand:  demand,
 		C:       p.capacities(servers, demand),
 		D:       make([]float64, len(clients)),
 		cost:    make([][]float64, len(clients)),
--- a/policy/state.go
+++ b/policy/state.go
@@ -151,6 +151,11 @@
 	watching         bool    // an update of the endpoint list arrived after the last failed poll
 	pollMs           float64 // time of the next poll of the endpoint list
 	pollBackoff      float64 // wait after the next failed poll, in ms
+	served           servedRate
+	servedFromMs     float64 // when a whole window of load reports has arrived
+	admissionLimited bool    // admission is limited for cold servers
+	unlimitedShare   float64 // share of the demand that would be admitted without that limit
+	bearableShare    float64 // part of that share with which no server gets more than its limit by the last split; 1: all
 	capacityRate     float64 // known capacity of the fleet in successful requests per second
 
 	// Statistics, updated by each evaluation. Latencies and failure shares are those of the median server.
--- a/policy/tables.go
+++ b/policy/tables.go
@@ -108,6 +108,8 @@
 	// in late reports only after the servers of one zone are overloaded.
 	staleness := math.Max(0, 1-minWindowMs/p.roundMs)
 	minShare := minWeightChange / float64(len(problem.servers))
+	limits := p.loadLimits(problem)
+	bearable, demand := 0.0, 0.0
 	for i, client := range p.clients {
 		client.cells = map[*server]cell{}
 		var wanted []*serverShare
@@ -116,15 +118,24 @@
 			alpha := problem.cells[i][j].alpha
 			share := alpha + staleness*(problem.C[j]/problem.capacity-alpha)
 			// ADMM stops after 20 iterations, and its result may exceed capacities. That would make servers on a ramp fail.
-			if p.ramp(server) < 1 && load[j] > problem.C[j] {
-				share *= problem.C[j] / load[j]
+			if load[j] > limits[j] {
+				share *= limits[j] / load[j]
 			}
+			bearable += share * client.demand
 			if !math.IsInf(problem.cost[i][j], 1) {
 				wanted = append(wanted, &serverShare{server: server, share: share})
 			}
 		}
+		demand += client.demand
 		p.fillTables(client, wanted, p.maxTableSize(problem.servers), minShare)
 	}
+	p.bearableShare = 1
+	if demand > 0 && slices.ContainsFunc(problem.servers, p.cold) {
+		p.bearableShare = bearable / demand
+	}
+	if p.bearableShare > maxBearableShare {
+		p.bearableShare = 1
+	}
 }
 
 // fillTables distributes the servers of a client over its tables. In a small fleet, each table holds all of them.
