--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -53,7 +53,7 @@
 		}
 		missing += math.Max(entry.target-entry.sent, 0)
 		total += entry.target
-		if math.Abs(entry.target-entry.sent) > minWeightChange*entry.sent && !entry.addsUnusable() {
+		if entry.mayChange() {
 			changed = append(changed, entry)
 		}
 	}
@@ -93,9 +93,12 @@
 	return deferrable
 }
 
-// addsUnusable reports whether the target would send more to a server that ceased to be usable after the solve that set the target. No
-// solve replaces such targets while no server at all is usable.
-func (e *entry) addsUnusable() bool { return !e.server.usable() && e.target > e.sent }
+// mayChange reports whether the target differs notably from the weight that was sent, and would not send more to a server that
+// ceased to be usable after the solve that set the target. No solve replaces such targets while no server at all is usable.
+func (e *entry) mayChange() bool {
+	addsUnusable := !e.server.usable() && e.target > e.sent
+	return !addsUnusable && math.Abs(e.target-e.sent) > minWeightChange*e.sent
+}
 
 // overTarget reports whether proxies send the server much more than its target.
 func (e *entry) overTarget() bool { return e.sent > overTargetFactor*e.target+weightTolerance }
