Platform: end ejections of servers that are listed only after the proxy joined

What callers saw: proxies without a server to pick for 6 to 10 s and more, and a smaller set of servers for all others, after a planner restarted during a release: rule on proxies without a server broken, and load concentrated. Cause: a proxy keeps ejections over a change of streams. Which it may hold was noted per server at the join, for the servers then known. A server that was gone at that time (its list is the planner's known list) and came back under its name later was given weight, and the ejection by the planner's earlier incarnation never ended. The same after a server was forgotten (15 minutes) by the planner that had ejected it. Why it works: a server that is new to the table starts with the proxies that may hold ejections from elsewhere; forgetting a server adds those that it was ejected at. Test: TestServerListedAfterJoinIsReadmitted, both sub-tests failed before.

--- a/internal/platform/endpoints.go
+++ b/internal/platform/endpoints.go
@@ -1,6 +1,10 @@
 package platform
 
-import "lichenpick/policy"
+import (
+	"slices"
+
+	"lichenpick/policy"
+)
 
 // removedRetentionMs is how long a removed endpoint is kept, in ms. The policy forgets removed servers earlier.
 const removedRetentionMs = 9e5
@@ -28,10 +32,12 @@
 type endpointTable struct {
 	byName  map[string]*endpoint
 	proxies int // maximum number of proxies; all proxy ids are lower
+	// Proxies that may hold ejections of servers that are not in byName: of another planner, or of servers forgotten since.
+	mayHoldEjections proxySet
 }
 
 func newEndpointTable(proxies int) endpointTable {
-	return endpointTable{byName: map[string]*endpoint{}, proxies: proxies}
+	return endpointTable{byName: map[string]*endpoint{}, proxies: proxies, mayHoldEjections: newProxySet(proxies)}
 }
 
 // update applies an endpoint list. Removed servers are forgotten after removedRetentionMs, unless they are ejected, because
@@ -45,7 +51,7 @@
 				name:             entry.Server,
 				sinceMs:          nowMs,
 				notified:         newProxySet(t.proxies),
-				possiblyNotified: newProxySet(t.proxies),
+				possiblyNotified: slices.Clone(t.mayHoldEjections),
 				omitted:          newProxySet(t.proxies),
 			}
 			t.byName[entry.Server] = e
@@ -61,6 +67,8 @@
 			e.setState(policy.Removed, nowMs)
 		}
 		if e.state == policy.Removed && nowMs-e.sinceMs > removedRetentionMs && !ejected[name] {
+			t.mayHoldEjections.add(e.notified)
+			t.mayHoldEjections.add(e.possiblyNotified)
 			delete(t.byName, name)
 		}
 	}
@@ -69,6 +77,7 @@
 // resetNotified resets the notifications of a proxy that has joined. With inherits, the proxy may hold ejections of another
 // planner.
 func (t *endpointTable) resetNotified(proxyID int, inherits bool) {
+	t.mayHoldEjections.set(proxyID, inherits)
 	for _, e := range t.byName {
 		e.notified.set(proxyID, false)
 		e.possiblyNotified.set(proxyID, inherits)
@@ -78,6 +87,7 @@
 
 // markPossiblyNotified records that it is unknown which ejections have reached a proxy.
 func (t *endpointTable) markPossiblyNotified(proxyID int) {
+	t.mayHoldEjections.set(proxyID, true)
 	for _, e := range t.byName {
 		e.possiblyNotified.set(proxyID, true)
 	}
--- a/internal/platform/proxies.go
+++ b/internal/platform/proxies.go
@@ -42,6 +42,13 @@
 	}
 }
 
+// add adds the proxies of another set.
+func (s proxySet) add(other proxySet) {
+	for word, bits := range other {
+		s[word] |= bits
+	}
+}
+
 // addProxy registers a proxy that joins on a connection. No proxy with its id may be joined.
 func (c *Core) addProxy(connection *Connection, join JoinMessage, zone int) {
 	p := &proxy{
