--- a/internal/platform/endpoints_test.go
+++ b/internal/platform/endpoints_test.go
@@ -8,12 +8,14 @@
 	"lichenpick/policy"
 )
 
-// settle lets time pass, in which a proxy acknowledges what it is sent and reports its demand.
-func (h *testHost) settle(connection *Connection, id, seconds int) {
+const settledProxyID = 1
+
+// settle lets time pass, in which proxy settledProxyID acknowledges what it is sent and reports its demand.
+func (h *testHost) settle(connection *Connection, seconds int) {
 	for range seconds {
 		h.advance(1000)
-		h.acknowledge(connection, id)
-		h.receive(connection, demandMessage(id))
+		h.acknowledge(connection, settledProxyID)
+		h.receive(connection, demandMessage(settledProxyID))
 	}
 }
 
@@ -34,27 +36,27 @@
 		"forgotten by the planner that ejected it": {1, func(h *testHost, connection *Connection) {
 			for _, state := range []policy.State{policy.Ready, policy.Draining, policy.Removed} {
 				list(h, state)
-				h.settle(connection, 1, 10)
+				h.settle(connection, 10)
 			}
 			h.atMs += 2 * removedRetentionMs
-			h.settle(connection, 1, 10)
+			h.settle(connection, 10)
 			list(h, policy.Removed) // the lists of the policy and of the core forget at a list
-			h.settle(connection, 1, 10)
+			h.settle(connection, 10)
 			h.atMs += 2 * removedRetentionMs
-			h.settle(connection, 1, 10)
+			h.settle(connection, 10)
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := startCore(t)
-			connection := h.connect(fmt.Sprintf("joined id=1 site=a rps=10 new=%d", test.newFlag))
-			h.settle(connection, 1, 5)
+			connection := h.connect(fmt.Sprintf("joined id=%d site=a rps=10 new=%d", settledProxyID, test.newFlag))
+			h.settle(connection, 5)
 			test.before(h, connection)
 			if test.newFlag == 1 && !strings.Contains(h.sent[connection], "drop="+server.Server) {
 				t.Fatal("the server was not ejected at the proxy, so the test shows nothing")
 			}
 			h.sent[connection] = ""
 			list(h, policy.Ready)
-			h.settle(connection, 1, 20)
+			h.settle(connection, 20)
 			entry := strings.Index(h.sent[connection], server.Server+":0.")
 			readmission := strings.Index(h.sent[connection], "undrop="+server.Server)
 			if entry < 0 || readmission < 0 {
