Model of the platform: count the time without a server from the change of the tables

Change: recordUnserved notes when a table loses its last server; bound and slack stay. It is as strict: a server without weight or ejected still counts as none, and the time now begins at the change and not at the next request.

--- a/internal/fakeplatform/client.go
+++ b/internal/fakeplatform/client.go
@@ -107,7 +107,6 @@
 		return
 	}
 	p.Tally.Attempts++
-	x.unservedMs[r.class] = p.NowMs()
 	x.checkDrain(server)
 	startMs := p.NowMs()
 	try := r.tries
--- a/internal/fakeplatform/proxy.go
+++ b/internal/fakeplatform/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -44,7 +45,7 @@
 	idleMs    map[string]float64 // when the connection to a server was used last
 
 	joinedMs        float64
-	unservedMs      []float64 // when a server was last picked, by class
+	unservedMs      []float64 // since when there has been no server to pick, by class; infinite: there is one
 	lastArrivalMs   float64
 	informedVersion int64 // version of the list that the planner knew when it sent the last message that the proxy applied
 }
@@ -65,7 +66,7 @@
 		pickable:   make([][]string, len(p.config.Classes)),
 		reportsMs:  make([]float64, len(p.config.Classes)),
 		idleMs:     map[string]float64{},
-		unservedMs: make([]float64, len(p.config.Classes)),
+		unservedMs: slices.Repeat([]float64{math.Inf(1)}, len(p.config.Classes)),
 	}
 	if zone >= len(p.planners) { // no planner in its zone
 		added.home = p.planners[p.random.Intn(len(p.planners))]
@@ -222,6 +223,7 @@
 		}
 	}
 	clear(x.pickable)
+	x.recordUnserved()
 	if stamp != "" {
 		x.connection.Send(fmt.Sprintf("applied id=%d seq=%s ms=%.1f", x.id, stamp, x.platform.NowMs()-sentMs))
 	}
--- a/internal/fakeplatform/rules.go
+++ b/internal/fakeplatform/rules.go
@@ -1,6 +1,10 @@
 package fakeplatform
 
-import "lichenpick/policy"
+import (
+	"math"
+
+	"lichenpick/policy"
+)
 
 // socketSlackMs is by how much the time limits of rules are longer than the settings say.
 const socketSlackMs = 300.0
@@ -18,10 +22,23 @@
 	}
 }
 
+// recordUnserved records, after the tables of the proxy have changed, since when it has had no server to pick for a class.
+func (x *proxy) recordUnserved() {
+	for class := range x.tables {
+		served := x.pick(class, nil) != nil
+		switch {
+		case served:
+			x.unservedMs[class] = math.Inf(1)
+		case math.IsInf(x.unservedMs[class], 1):
+			x.unservedMs[class] = x.platform.NowMs()
+		}
+	}
+}
+
 // checkUnserved checks, when a proxy has no server to pick for a class, the rule on proxies without one.
 func (x *proxy) checkUnserved(class int) {
 	p := x.platform
-	if x.slot == nil || x.slot.process == nil || !p.anyWarm() {
+	if x.slot == nil || !p.anyWarm() {
 		x.unservedMs[class] = p.NowMs()
 		return
 	}
