Proxy: bound the memory that unfinished requests take, and the time of their bodies

Cause: heads up to the library's 1 MiB, of which short fields take some 8 times their bytes; bodies up to 1 MiB each, buffered without a bound together and without a time limit, while they hold a place among those in flight. Change: heads of 8 KiB (the library allows 4 KiB more); all bodies share 64 MiB, taken as they arrive; 10 s for a body (408); a request counts as in flight once it is complete. The status server gets the same limit of heads.

--- a/internal/planner/statusserver.go
+++ b/internal/planner/statusserver.go
@@ -17,6 +17,9 @@
 // readHeaderTimeout bounds the time that a client of the status server may take to send its request header.
 const readHeaderTimeout = 2 * time.Second
 
+// maxHeaderBytes bounds the request header of a client of the status server.
+const maxHeaderBytes = 8 << 10
+
 // statusServer serves the status, metrics and profiles over HTTP, and lets operators drain the planner.
 type statusServer struct {
 	status *statusPublisher
@@ -27,7 +30,7 @@
 
 // run serves HTTP on a listener until the context ends, and then closes the listener.
 func (s *statusServer) run(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: s.handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		err := server.Serve(listener)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -37,12 +36,6 @@
 // ServeHTTP admits or rejects a request, forwards it, and retries failed attempts as far as the retry mode of its traffic
 // class allows.
 func (p *Proxy) ServeHTTP(response http.ResponseWriter, incoming *http.Request) {
-	if p.inFlightCount.Add(1) > int64(p.Settings.GetMostFlows()) {
-		p.inFlightCount.Add(-1) // runs before the response is written, so that a rejected request does not count as in flight
-		p.reject(response, OutcomeRejected, "too many requests in flight")
-		return
-	}
-	defer p.inFlightCount.Add(-1)
 	if refusal := checkTarget(incoming); refusal != nil {
 		rejectMalformed(response, refusal.cause, refusal.status)
 		return
@@ -53,17 +46,25 @@
 		rejectMalformed(response, fmt.Sprintf("no traffic class %q", className), http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(response, incoming.Body, maxBodyBytes))
+	body, err := p.readBody(response, incoming)
+	defer p.requestMemory.release(&body)
 	if err != nil {
-		rejectMalformed(response, "reading the body: "+err.Error(), http.StatusRequestEntityTooLarge)
+		p.rejectBody(response, err)
 		return
 	}
+	// A request counts as in flight once it is complete, so that clients that write slowly cannot take the places of others.
+	if p.inFlightCount.Add(1) > int64(p.Settings.GetMostFlows()) {
+		p.inFlightCount.Add(-1) // runs before the response is written, so that a rejected request does not count as in flight
+		p.reject(response, OutcomeRejected, "too many requests in flight")
+		return
+	}
+	defer p.inFlightCount.Add(-1)
 	request, admitted := p.admit(class)
 	if !admitted {
 		p.reject(response, OutcomeRejected, "not admitted")
 		return
 	}
-	p.forward(response, incoming, body, request)
+	p.forward(response, incoming, body.content, request)
 }
 
 // targetRefusal is the response to a request that no server can be sent.
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -27,6 +27,7 @@
 	transports    map[string]*http.Transport // transport of each server, by address; guarded by the mutex of ControlClient
 	classByName   map[string]int             // index of each traffic class in the settings, by class name
 	inFlightCount atomic.Int64               // number of client requests in flight
+	requestMemory requestMemory
 }
 
 // New returns a proxy that is not running yet.
@@ -35,6 +36,7 @@
 		ControlClient: NewControlClient(options),
 		transports:    map[string]*http.Transport{},
 		classByName:   map[string]int{},
+		requestMemory: newRequestMemory(),
 	}
 	proxy.afterOrders = proxy.closeUnusedTransports
 	for index, class := range options.Settings.Groups {
@@ -53,6 +55,7 @@
 	server := &http.Server{
 		Handler:           p,
 		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       settings.Duration(p.Settings.ConnectionIdle),
 		ErrorLog:          slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug),
 		// The handler refuses the asterisk form, as no server answers for all of them.
