--- a/internal/proxy/slowclients_test.go
+++ b/internal/proxy/slowclients_test.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	crowdClients = 300
-	// maxCrowdBytes is the memory that a crowd may cost: that for request bodies, and 128 KiB for each connection.
-	maxCrowdBytes = maxRequestMemory + crowdClients*128<<10
-	requestLine   = "POST /x HTTP/1.1\r\nHost: a\r\nTraffic-Group: charge\r\n"
-	crowdWaitMs   = 1000
+	slowClients = 300
+	// maxClientBytes is the memory that these clients may cost: that for request bodies, and 128 KiB for each connection.
+	maxClientBytes = maxRequestMemory + slowClients*128<<10
+	requestLine    = "POST /x HTTP/1.1\r\nHost: a\r\nTraffic-Group: charge\r\n"
+	settleMs       = 1000
 )
 
 // usedBytes returns the memory that is in use, after a garbage collection.
@@ -59,7 +59,7 @@
 
 // Guards against a process that passes its memory limit while hundreds of clients write large requests slowly or only in part
 // (issue 41, picture a).
-func TestCrowdOfUnfinishedRequestsCostsLittleMemory(t *testing.T) {
+func TestUnfinishedRequestsCostLittleMemory(t *testing.T) {
 	for name, text := range map[string]string{
 		"heads of very many short fields": shortFields(1 << 20),
 		"half of a large body":            requestLine + "Content-Length: 1048576\r\n\r\n" + strings.Repeat("x", 1<<19),
@@ -70,16 +70,15 @@
 			server := startServer(t, func(http.ResponseWriter, *http.Request) {})
 			_, address := startProxy(t, "", server)
 			before := usedBytes()
-			for range crowdClients {
+			for range slowClients {
 				conn := dialClient(t, address)
 				go func() { _, _ = io.WriteString(conn, text) }() // fails where the proxy closes the connection
 			}
-			wait(t, crowdWaitMs)
-			if grown := usedBytes() - before; grown > maxCrowdBytes {
-				t.Errorf("%d clients cost %d MiB, want at most %d", crowdClients, grown>>20, maxCrowdBytes>>20)
+			wait(t, settleMs)
+			if grown := usedBytes() - before; grown > maxClientBytes {
+				t.Errorf("%d clients cost %d MiB, want at most %d", slowClients, grown>>20, maxClientBytes>>20)
 			}
 			checkSend(t, address, "check", http.StatusOK, "")
 		})
 	}
 }
-
