Proxy: forward no request whose client has closed its connection

Cause: the HTTP library sees the end of a connection only behind all that the client wrote. With more pipelined than the library reads ahead it goes on with the next request until a write fails, which takes a round trip. Change: before the first attempt and before a retry the socket is asked whether its peer has hung up, which the kernel knows whatever is unread. Such a request gets 503, as nothing was done.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -59,6 +59,10 @@
 		return
 	}
 	defer p.inFlightCount.Add(-1)
+	if clientHasLeft(incoming) {
+		p.reject(response, OutcomeRejected, "the client has closed its connection")
+		return
+	}
 	request, admitted := p.admit(class)
 	if !admitted {
 		p.reject(response, OutcomeRejected, "not admitted")
@@ -108,7 +112,7 @@
 		}
 		startMs := p.Clock.Monotonic()
 		received, outcome := p.attempt(incoming, body, next, request.Attempts)
-		if p.finish(request, next.server, outcome, startMs) {
+		if p.finish(request, next.server, outcome, startMs) && !clientHasLeft(incoming) {
 			continue
 		}
 		if received == nil {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -56,6 +56,7 @@
 		Handler:           p,
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       withClientConn,
 		IdleTimeout:       settings.Duration(p.Settings.ConnectionIdle),
 		ErrorLog:          slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug),
 		// The handler refuses the asterisk form, as no server answers for all of them.
