Platform: the pace of reads needs no time before the first read

Change: the zero value allows a burst. Result: TestPanics, TestReadsOfOneConnectionArePaced and TestBusyClientDelaysNoOthers pass with -race.

--- a/internal/platform/readpace.go
+++ b/internal/platform/readpace.go
@@ -8,7 +8,7 @@
 	minReadPauseMs = 2.0      // shorter pauses are added up
 )
 
-// readPace paces the reads of one connection. The zero value must be given the present time before its first use.
+// readPace paces the reads of one connection. Its times are Unix ms, so that the zero value allows a burst.
 type readPace struct {
 	allowance float64 // bytes that may be read without a pause; negative while a pause is due
 	updatedMs float64 // time of the last update of allowance
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -30,7 +30,7 @@
 // messages.
 func (s *serverRuntime) read(t *stream) {
 	buffer := make([]byte, readBufferBytes)
-	pace := readPace{allowance: readBurstBytes, updatedMs: s.nowMs()}
+	var pace readPace
 	for {
 		count, err := t.Read(buffer)
 		ok := s.withCore(func() { s.handleRead(t, buffer[:count], err) })
