Policy: send drains to proxies that join while no table can be assigned

What callers saw: requests to draining servers for 4 s and more after a planner restarted during a release of all servers. Cause: an ejection is sent once, to the proxies that are joined then; proxies that join later rely on their assignment, which replaces the table of before. With no usable server nothing is solved and nothing is assigned. Change: once the drain would be late for such a proxy, it gets the ejections that it doesn't hold; only at hosts that leave out proxies which were notified (serve). A first form that acted whenever a proxy had no table filled the channel in TestDrainsDuringMassJoin and was given up.

--- a/internal/platform/policyhost.go
+++ b/internal/platform/policyhost.go
@@ -108,7 +108,7 @@
 		if p.inactive || !p.mayHold(server, includeUnassigned) {
 			continue
 		}
-		if (ejected && !omitted) || (!ejected && e.notified.contains(p.id)) {
+		if (ejected && !omitted && !e.notified.contains(p.id)) || (!ejected && e.notified.contains(p.id)) {
 			publisher.setEjected(p, e, ejected)
 		}
 	}
--- a/policy/drain_test.go
+++ b/policy/drain_test.go
@@ -67,3 +67,27 @@
 		}
 	}
 }
+
+// Guards against a broken drain rule: while no server was usable, so that no table could replace the old one, proxies that joined after
+// the ejections of draining servers were never sent them (a planner restarted during a release of all servers).
+func TestDrainsReachProxiesThatJoinWhileNoTableCanBeAssigned(t *testing.T) {
+	settings := testSettings()
+	settings.EjectsOnce = true
+	f := startPlanner(settings)
+	list := readyServers(6)
+	for index := range list {
+		list[index].State = Draining
+	}
+	f.planner.UpdateEndpoints(RestoredUpdate, list)
+	f.planner.AddProxy(0, 0, 10)
+	f.run(2, nil)
+	f.planner.AddProxy(1, 1, 10)
+	f.run(3, nil)
+	for _, server := range f.planner.servers {
+		for _, proxy := range f.planner.proxies {
+			if !proxy.ejected[server] {
+				t.Errorf("proxy %d, joined %.0f ms ago, was not sent the ejection of %s", proxy.id, f.nowMs-proxy.joinedMs, server.Server)
+			}
+		}
+	}
+}
--- a/policy/host.go
+++ b/policy/host.go
@@ -56,6 +56,7 @@
 	MinServerConnections float64 // number of connections that the smallest server accepts
 	IdleTimeoutMs        float64 // time after which a proxy closes an unused connection
 	OmitsEntries         bool    // the host can leave entries out when it assigns a table, and sends them on Host.RestoreServers
+	EjectsOnce           bool    // SetEjected leaves out proxies that hold the ejection already
 	ReadmitByWeight      bool    // the first weight of a server in a proxy's tables ends the server's ejection at this proxy
 }
 
