Planner: bound the memory of incomplete frames of all streams together

Cause: each stream may hold one frame of frame_bytes (256 KiB by default), up to 4,096 streams. Change: 64 MiB together; a stream with more than 64 KiB of an incomplete frame ends when all are over it.

--- a/internal/controlstream/session.go
+++ b/internal/controlstream/session.go
@@ -56,6 +56,9 @@
 	return s.lastFrameMs + s.limits.HeartbeatTimeoutMs
 }
 
+// Buffered returns the number of received bytes that are not yet part of a frame that Next has returned.
+func (s *session) Buffered() int { return s.decoder.Buffered() }
+
 // CloseCause returns the error with which the stream ended, or nil while it is open.
 func (s *session) CloseCause() *CloseError { return s.closeErr }
 
--- a/internal/planner/connection.go
+++ b/internal/planner/connection.go
@@ -80,7 +80,13 @@
 func (s *server) serveConnection(ctx context.Context, conn net.Conn, from netip.Addr) {
 	session := controlstream.NewPlannerSession(s.limits, s.Clock.Monotonic())
 	c := newConnection(conn, from, session)
-	reader := &streamReader{connection: c, loop: s.loop, reports: s.reports, clock: s.Clock}
+	reader := &streamReader{
+		connection: c,
+		loop:       s.loop,
+		reports:    s.reports,
+		clock:      s.Clock,
+		partial:    partialFrame{frames: &s.partial},
+	}
 	writer := newStreamWriter(c, s)
 	var goroutines sync.WaitGroup
 	goroutines.Go(func() { reader.run(ctx) })
--- a/internal/planner/server.go
+++ b/internal/planner/server.go
@@ -46,6 +46,7 @@
 	acceptor *acceptor
 	status   *statusPublisher
 	reports  *coalescedReports
+	partial  partialFrames
 	epochs   *epochWriter // reserves epochs in the store; nil: planners do not share the fleet
 }
 
--- a/internal/planner/streamreader.go
+++ b/internal/planner/streamreader.go
@@ -21,18 +21,23 @@
 	reports *coalescedReports
 	clock   clock.Clock
 	pending input // input from the last frame, until it is submitted to the core; nil: none
+	partial partialFrame
 }
 
 var _ controlstream.PlannerHost = (*streamReader)(nil)
 
 // run reads frames until the connection is closed, by this or another goroutine.
 func (r *streamReader) run(ctx context.Context) {
+	defer r.partial.release()
 	buffer := make([]byte, readBufferBytes)
 	for r.armDeadline() {
 		count, err := r.conn.Read(buffer)
 		r.session.Feed(r.clock.Monotonic(), buffer[:count])
 		submitted := r.submitFrames(ctx)
 		r.closeIfEnded(submitted, err)
+		if cause := r.partial.update(r.session.Buffered()); cause != nil {
+			r.close(cause)
+		}
 		if count > 0 {
 			r.loop.submit(ctx, func(core *Core) { core.HandleHeartbeat(r.stream) })
 		}
