--- a/policy/doc.go
+++ b/policy/doc.go
@@ -28,6 +28,7 @@
 //	outliers.go      ejection and readmission of servers
 //	admission.go     admission rates and retry modes
 //	capacity.go      the capacity that each server is assigned
+//	coldservers.go   admission and ejection for the sake of servers in slow start
 //	tables.go        the split of demand and the weights of tables
 //	solver.go        the ADMM solver that computes the split
 //	rollout.go       the order in which changes are sent
@@ -38,7 +39,7 @@
 //	measurements.go  demand, and statistics of servers and of the fleet
 //	state.go         the types of the state; records.go and problem.go maintain it
 //	collections.go   helpers for slices
-//	view.go          the state as text, for traces
+//	view.go          the state as text, for traces; observer.go notifies a log of changes
 //
 // docs/design.md explains the design.
 package policy
--- a/policy/view.go
+++ b/policy/view.go
@@ -14,8 +14,8 @@
 	fmt.Fprintf(&text, "fleet proxies=%d servers=%d solves=%d round=%.0f", len(p.proxies), len(p.servers), p.solves, p.roundMs)
 	fmt.Fprintf(&text, " latency=%.0f baseline=%.0f objective=%.0f failed=%.2f",
 		p.latencyMs, p.baselineMs, p.latencyObjectiveMs, p.failureShare)
-	fmt.Fprintf(&text, " admitted=%.0f capacity=%.0f unacknowledged=%.0f backlog=%.0f pending=%d admission=",
-		p.admittedRate, p.capacityRate, p.unacknowledged(), p.backlog, len(p.pendingDecisions))
+	fmt.Fprintf(&text, " admitted=%.0f capacity=%.0f bearable=%.2f unacknowledged=%.0f backlog=%.0f pending=%d admission=",
+		p.admittedRate, p.capacityRate, p.bearableShare, p.unacknowledged(), p.backlog, len(p.pendingDecisions))
 	for _, class := range p.admission {
 		fmt.Fprintf(&text, "%.2f/%d(%.0f) ", class.target, class.retry, class.demand)
 	}
