--- a/internal/fakeplatform/proxy.go
+++ b/internal/fakeplatform/proxy.go
@@ -30,6 +30,7 @@
 	share      float64 // of the requests of its zone
 	home       *plannerSlot
 	slot       *plannerSlot // planner that the proxy has joined; nil while it is disconnected
+	stream     *proxyPeer   // stream to that planner
 	connection Connection
 	assigned   bool     // the proxy has applied a table of a planner
 	parts      []string // parts of the message that arrives
@@ -90,12 +91,14 @@
 	if running := p.runningPlanners(); !slot.running && len(running) > 0 {
 		slot = running[p.random.Intn(len(running))]
 	}
-	connection, err := slot.process.Connect(&proxyPeer{proxy: x, slot: slot})
+	stream := &proxyPeer{proxy: x, slot: slot}
+	connection, err := slot.process.Connect(stream)
 	if err != nil {
 		p.After(x.redialMs(), x.connect)
 		return
 	}
 	x.slot = slot
+	x.stream = stream
 	x.connection = connection
 	x.parts = nil
 	x.lastArrivalMs = 0
@@ -131,6 +134,7 @@
 
 func (x *proxy) disconnected() {
 	x.slot = nil
+	x.stream = nil
 	x.connection = nil
 }
 
@@ -140,7 +144,8 @@
 	slot  *plannerSlot
 }
 
-func (s *proxyPeer) current() bool { return s.proxy.slot == s.slot }
+// current reports whether the proxy still uses this stream. What is under way on an earlier one is lost.
+func (s *proxyPeer) current() bool { return s.proxy.stream == s }
 
 // Lost implements Peer: the proxy dials again.
 func (s *proxyPeer) Lost() {
