Review case 6: the deploy at the later site's size; case 7 shares its figures

Done: 120 servers and 48 proxies, the least of the later site's present size; the small form stays as deploy-small. Case 7 takes its load from the same place. Orders of case 6 come up to 5.3 s after the drain was told, limit 1.8 s. Lines weren't short: 2,551 of 4,050 in a traced run.

--- a/review/_deployment2/scenarios.go
+++ b/review/_deployment2/scenarios.go
@@ -7,11 +7,12 @@
 )
 
 var scenarios = map[string]scenario{
-	"hung-zone":   {"nobody left without a server", buildHungZone, playHungZone},
-	"late-joiner": {"safe drain", buildLateJoiner, playLateJoiner},
-	"cold-zone":   {"safe fail-back", buildColdZone, playColdZone},
-	"deploy":      {"safe drain", buildDeploy, playDeploy},
-	"idle-proxy":  {"safe drain", buildIdleProxy, playIdleProxy},
+	"hung-zone":    {"nobody left without a server", buildHungZone, playHungZone},
+	"late-joiner":  {"safe drain", buildLateJoiner, playLateJoiner},
+	"cold-zone":    {"safe fail-back", buildColdZone, playColdZone},
+	"deploy":       {"safe drain", buildDeploy, playDeploy},
+	"deploy-small": {"safe drain", buildSmallDeploy, playDeploy},
+	"idle-proxy":   {"safe drain", buildIdleProxy, playIdleProxy},
 }
 
 // threeZones gives a fleet 16 servers and nine proxies in three zones, and a class that keeps to the proxy's zone.
@@ -169,26 +170,32 @@
 	return err
 }
 
-// buildDeploy gives a fleet 32 servers and 20 proxies.
-func buildDeploy(f *fleet) error {
-	if err := booking(f, 8); err != nil {
+// buildDeploy gives a fleet 120 servers and 48 proxies. The load is six tenths of what the servers can do.
+func buildDeploy(f *fleet) error { return buildLoaded(f, 30, 48) }
+
+// buildSmallDeploy does the same with 32 servers and 20 proxies.
+func buildSmallDeploy(f *fleet) error { return buildLoaded(f, 8, 20) }
+
+func buildLoaded(f *fleet, serversPerZone, proxies int) error {
+	if err := booking(f, serversPerZone); err != nil {
 		return err
 	}
-	f.rate = func(int) float64 { return 6.7 }
-	for id := range 20 {
+	total := 0.6 * float64(len(f.servers)) * 2 / (f.classes[0].work + f.classes[1].work).Seconds()
+	f.rate = func(int) float64 { return total / float64(proxies) }
+	for id := range proxies {
 		f.proxies = append(f.proxies, newProxy(id, f.zones[id%4], f, f.planners[0]))
 	}
 	return nil
 }
 
-// playDeploy replaces all servers but one within 23 s, up to five at a time. Each is listed as draining and ends 2 s later; its
-// successor is listed 1.5 s after that. Without the disruption, one server is replaced.
+// playDeploy replaces all servers but a hundredth within 23 s, 16 in a hundred at a time. Each is listed as draining and ends 2 s later;
+// its successor starts 0.8 s after that and is listed 0.7 s later. Without the disruption, one server is replaced.
 func playDeploy(f *fleet, trouble bool) error {
-	const replaced = 31
+	replaced := len(f.servers) * 99 / 100
 	time.Sleep(12 * time.Second)
 	start := time.Now()
 	for index, old := range slices.Clone(f.servers[:replaced]) {
-		time.Sleep(time.Until(start.Add(time.Duration(index) * 23 * time.Second / (replaced + 1))))
+		time.Sleep(time.Until(start.Add(time.Duration(index) * 23 * time.Second / time.Duration(replaced+1))))
 		old.State = "draining"
 		go f.replace(old, 2*time.Second, 2800*time.Millisecond, 700*time.Millisecond)
 		if !trouble {
@@ -223,15 +230,10 @@
 // buildColdZone gives a fleet 20 servers and 12 proxies in four zones of the same size; one of two classes keeps to the proxy's zone.
 // The load is six tenths of what the servers can do.
 func buildColdZone(f *fleet) error {
-	if err := booking(f, 5); err != nil {
+	if err := buildLoaded(f, 5, 12); err != nil {
 		return err
 	}
 	f.classes[1].staysLocal = true
-	total := 0.6 * float64(len(f.servers)) * 2 / (f.classes[0].work + f.classes[1].work).Seconds()
-	f.rate = func(int) float64 { return total / 12 }
-	for id := range 12 {
-		f.proxies = append(f.proxies, newProxy(id, f.zones[id%4], f, f.planners[0]))
-	}
 	return nil
 }
 
