--- a/review/_deployment2/main.go
+++ b/review/_deployment2/main.go
@@ -36,6 +36,21 @@
 	play  func(f *fleet, trouble bool) error
 }
 
+// proxyEnd is the case that needs the project's own proxy instead of the platform.
+const proxyEnd = "proxy-end"
+
+// stopOnSignal ends the processes of a case when the script itself is ended.
+func stopOnSignal(stopProcesses func(), folder string) {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-stop
+		stopProcesses()
+		_ = os.RemoveAll(folder)
+		os.Exit(2)
+	}()
+}
+
 func main() {
 	os.Exit(runCase())
 }
@@ -46,6 +61,7 @@
 	trouble := flag.Bool("trouble", true, "play the disruption")
 	flag.Parse()
 	played, known := scenarios[*name]
+	known = known || *name == proxyEnd
 	file, err := os.Create(*path)
 	if err != nil || !known {
 		fmt.Fprintln(os.Stderr, "cannot run case", *name, err)
@@ -64,18 +80,16 @@
 		return 2
 	}
 	defer os.RemoveAll(folder)
+	if *name == proxyEnd {
+		return runProxyEnd(folder, *trouble)
+	}
 	f := newFleet(folder)
 	f.trouble = *trouble
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
-	go func() { // ends the planners also when the script is ended
-		<-stop
+	stopOnSignal(func() {
 		for _, p := range f.planners {
 			p.terminate()
 		}
-		_ = os.RemoveAll(folder)
-		os.Exit(2)
-	}()
+	}, folder)
 	err = played.build(f)
 	if err == nil {
 		err = f.run()
