--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p bin
-go build -o bin/deployment2 ./review/_deployment2
+go build -o bin/deployment2 ./review/testdata/deployment2
--- a/review/_deployment2/proxy.go
+++ b/review/testdata/deployment2/proxy.go
@@ -108,6 +108,9 @@
 		say("proxy %d has lost its stream to %s", p.id, home.name)
 	}()
 	reader := bufio.NewReader(conn)
+	orders := make(chan order, 1000)
+	defer close(orders)
+	go p.obey(conn, orders)
 	var parts []string
 	for {
 		line, err := reader.ReadString('\n')
@@ -126,12 +129,28 @@
 		if strings.HasSuffix(line, " part=1") {
 			continue
 		}
-		message, received := parts, time.Now()
-		parts = nil
+		received := time.Now()
 		p.countMessage(received)
-		time.Sleep(p.fleet.wayOf(p.id)) // the message's way to the proxy; messages stay in order
-		if !p.apply(message, received) {
-			return
+		orders <- order{parts, received}
+		parts = nil
+	}
+}
+
+// order is a message on its way to the proxy.
+type order struct {
+	parts    []string
+	received time.Time
+}
+
+// obey applies the messages of a stream, each after its way and in order. What is under way when the stream ends is lost.
+func (p *proxy) obey(conn net.Conn, orders <-chan order) {
+	for message := range orders {
+		time.Sleep(time.Until(message.received.Add(p.fleet.wayOf(p.id))))
+		p.mu.Lock()
+		current := p.conn == conn
+		p.mu.Unlock()
+		if current && !p.apply(message.parts, message.received) {
+			_ = conn.Close()
 		}
 	}
 }
