Review case 6: changes of the list come together each 0.5 s

Looked for: whether case 6 rests on a list that tells each change at once; the site file gives it a period of 160 to 1,100 ms. Done: in case 6 the agent publishes changes together each 0.5 s.

--- a/review/testdata/deployment2/list.go
+++ b/review/testdata/deployment2/list.go
@@ -46,6 +46,9 @@
 	changes []change
 	told    map[string]time.Time // when a server was first written to the planner as draining or gone
 	wake    chan struct{}
+
+	period  time.Duration // how long changes wait to be published together; 0: each is published at once
+	pending []entry       // changes that wait
 }
 
 func newAgent(servers []entry) (*agent, error) {
@@ -72,6 +75,24 @@
 func (a *agent) apply(entries ...entry) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.period == 0 {
+		a.publish(entries)
+		return
+	}
+	a.pending = append(a.pending, entries...)
+	if len(a.pending) > len(entries) {
+		return // they are published with those that wait already
+	}
+	time.AfterFunc(a.period, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.publish(a.pending)
+		a.pending = nil
+	})
+}
+
+// publish changes the list and tells those that watch it. The caller holds the lock.
+func (a *agent) publish(entries []entry) {
 	a.version++
 	for _, e := range entries {
 		if _, known := a.servers[e.ID]; !known {
--- a/review/testdata/deployment2/scenarios.go
+++ b/review/testdata/deployment2/scenarios.go
@@ -189,9 +189,11 @@
 }
 
 // playDeploy replaces all servers but a hundredth within 23 s, 16 in a hundred at a time. Each is listed as draining and ends 2 s later;
-// its successor starts 0.8 s after that and is listed 0.7 s later. Without the disruption, one server is replaced.
+// its successor starts 0.8 s after that and is listed 0.7 s later. Changes of the list come together each 0.5 s. Without the disruption, one
+// server is replaced.
 func playDeploy(f *fleet, trouble bool) error {
 	replaced := len(f.servers) * 99 / 100
+	f.planners[0].agent.period = 500 * time.Millisecond
 	time.Sleep(12 * time.Second)
 	start := time.Now()
 	for index, old := range slices.Clone(f.servers[:replaced]) {
