Log and count drains that proxies have not been sent past most of the grace

Change: after three quarters of the drain grace, each pair of a joined proxy and a draining or removed server that the proxy may hold, and has not been sent the ejection of, counts as late: `max_unsent_drains` in the counts of `serve`, `lichenpick_drains_unsent` and the status key DrainsUnsent of `planner`. A line "drains not sent", once a second at most, gives the reasons (message_limit, no_room, not_ordered, awaits_table, no_servers_for_table), the oldest pair, and whether its proxy joined after the ejection was ordered.

--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math"
+	"slices"
 
 	"lichenpick/policy"
 )
@@ -17,9 +19,15 @@
 	keyCold          = "cold"
 	keyColdShare     = "cold_share"
 	keyDemandRate    = "demand_per_s"
+	keyDrains        = "drains"
 	keyEjected       = "ejected_ms"
+	keyJoinedAfter   = "joined_after_order"
+	keyProxies       = "proxies"
+	keyProxy         = "proxy"
 	keyReason        = "reason"
+	keyReasons       = "reasons"
 	keyServer        = "server"
+	keyServers       = "servers"
 	keyState         = "state"
 	keyUnhealthy     = "unhealthy"
 	keyWarm          = "warm"
@@ -63,5 +71,37 @@
 	)
 }
 
+// DrainsUnsent implements policy.Observer: it logs how many proxies have not been sent how many ejections on the level warn,
+// with the reasons, and one of the oldest.
+func (o Observer) DrainsUnsent(late []policy.UnsentDrain) {
+	proxies := map[int]bool{}
+	servers := map[string]bool{}
+	reasons := map[policy.UnsentReason]int{}
+	oldest := late[0]
+	for _, drain := range late {
+		proxies[drain.Proxy] = true
+		servers[drain.Server] = true
+		reasons[drain.Reason]++
+		if drain.AgeMs > oldest.AgeMs {
+			oldest = drain
+		}
+	}
+	var counts []any
+	for _, reason := range slices.Sorted(maps.Keys(reasons)) {
+		counts = append(counts, slog.Int(reason.String(), reasons[reason]))
+	}
+	o.log.Warn("drains not sent",
+		keyDrains, len(late),
+		keyProxies, len(proxies),
+		keyServers, len(servers),
+		slog.Group(keyReasons, counts...),
+		keyServer, oldest.Server,
+		keyProxy, oldest.Proxy,
+		keyAge, math.Round(oldest.AgeMs),
+		keyReason, oldest.Reason,
+		keyJoinedAfter, oldest.JoinedAfterward,
+	)
+}
+
 // roundTo2 rounds to two decimal places.
 func roundTo2(number float64) float64 { return math.Round(number*100) / 100 }
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -66,6 +66,9 @@
 	Acknowledge(id, number int, tookMs float64)
 	// SetLagging sets whether the planner lags. The policy holds back deferrable decisions while the planner lags.
 	SetLagging(on bool)
+	// UnsentDrains returns the number of pairs of a proxy and a draining or removed server whose ejection the proxy should have
+	// been sent by now.
+	UnsentDrains() int
 	// Next carries out at most one decision, and reports whether there was one.
 	Next(h policy.Host) bool
 }
--- a/internal/planner/metrics.go
+++ b/internal/planner/metrics.go
@@ -22,6 +22,7 @@
 	{"servers_ready", "Number of servers listed as ready.", func(s *Status) float64 { return float64(s.Ready) }},
 	{"servers_doubted", "Number of servers missing from the endpoint list that are not taken for removed yet.", func(s *Status) float64 { return float64(s.Unverified) }},
 	{"lines_waiting", "Entries that wait to be sent, message overhead included.", func(s *Status) float64 { return s.Backlog }},
+	{"drains_unsent", "Number of pairs of a proxy and a draining or removed server whose ejection is sent late.", func(s *Status) float64 { return float64(s.UnsentDrains) }},
 	{"messages_sent", "Total order messages sent.", func(s *Status) float64 { return float64(s.Messages) }},
 	{"lines_sent", "Total entries sent in order messages, message overhead included.", func(s *Status) float64 { return float64(s.Entries) }},
 	{"sums_shed", "Total load entries dropped as too many waited for the policy.", func(s *Status) float64 { return float64(s.Shed) }},
--- a/internal/planner/status.go
+++ b/internal/planner/status.go
@@ -34,6 +34,8 @@
 	PeakBacklog float64 `json:"LinesPeak"`    // highest backlog since the last status
 	MaxBacklog  float64 `json:"LinesMost"`    // highest backlog since the start
 
+	UnsentDrains int `json:"DrainsUnsent"` // pairs of a proxy and a draining or removed server whose ejection is sent late
+
 	Joins       uint64 `json:"Joins"`    // streams that joined since the start
 	Messages    uint64 `json:"Messages"` // order messages sent since the start
 	Entries     uint64 `json:"Lines"`    // entries sent in order messages since the start, message overhead included
@@ -97,6 +99,7 @@
 	s.Rejected = c.endpoints.tracker.Rejected
 	s.Backlog = c.publisher.queue.Backlog()
 	s.PeakBacklog = c.publisher.queue.PeakBacklog()
+	s.UnsentDrains = c.policy.UnsentDrains()
 	s.Joins = c.Counts.Joins
 	s.Messages = c.Counts.Messages
 	s.Entries = c.Counts.Entries
--- a/internal/planner/status_test.go
+++ b/internal/planner/status_test.go
@@ -50,7 +50,7 @@
 		if err := json.Unmarshal(fetch(t, server.URL+"/status"), &fields); err != nil {
 			t.Fatal(err)
 		}
-		expected := strings.Fields(`AtUnixMs Behind Claimless Commanded Doubted Draining Endings Expired Gone Handed Joins LagMs Lines
+		expected := strings.Fields(`AtUnixMs Behind Claimless Commanded Doubted Draining DrainsUnsent Endings Expired Gone Handed Joins LagMs Lines
 			LinesMost LinesPeak LinesWaiting Lost Marks Merged Messages OrderMsP50 OrderMsP99 Planner Proxies Ready Refused
 			RefusedDials Shed Streams Sums Takeovers Unheard`)
 		for _, key := range expected {
@@ -64,7 +64,7 @@
 	})
 	t.Run("the metrics have exactly the expected names, each with a help text", func(t *testing.T) {
 		server := newTestStatusServer(t, &Status{Proxies: 7})
-		expected := strings.Fields(`commanded dials_refused lag_ms lines_sent lines_waiting messages_sent order_ms_p50 order_ms_p99
+		expected := strings.Fields(`commanded dials_refused drains_unsent lag_ms lines_sent lines_waiting messages_sent order_ms_p50 order_ms_p99
 			proxies reports_merged servers_doubted servers_ready streams sums_shed takeovers`)
 		var names []string
 		for _, line := range strings.Split(string(fetch(t, server.URL+"/metrics")), "\n") {
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -114,6 +114,7 @@
 	case c.deactivateSilent():
 		return true
 	}
+	c.Counts.MaxUnsentDrains = max(c.Counts.MaxUnsentDrains, uint64(c.policy.UnsentDrains()))
 	return c.setTimer(host)
 }
 
--- a/internal/platform/counts.go
+++ b/internal/platform/counts.go
@@ -20,7 +20,9 @@
 	// MaxBacklog is the maximum number of entries that waited in the channel, assuming its stated rate. The policy has an
 	// estimate of its own, which the trace shows.
 	MaxBacklog float64
-	Closed     [numCloseReasons]uint64 // connections that the planner closed, by reason
+	// MaxUnsentDrains is the maximum of policy.UnsentDrains. It stays 0 while drains reach proxies in time.
+	MaxUnsentDrains uint64
+	Closed          [numCloseReasons]uint64 // connections that the planner closed, by reason
 }
 
 // LogValue returns a group of all counts. Close reasons that did not occur are left out.
@@ -46,6 +48,7 @@
 		slog.Uint64(keyBytes, n.Bytes),
 		slog.Uint64(keyEndpointUpdates, n.EndpointUpdates),
 		slog.Float64(keyMaxBacklog, n.MaxBacklog),
+		slog.Uint64(keyMaxUnsentDrains, n.MaxUnsentDrains),
 		slog.Attr{Key: keyClosed, Value: slog.GroupValue(closed...)},
 	)
 }
--- a/internal/platform/logkeys.go
+++ b/internal/platform/logkeys.go
@@ -39,6 +39,7 @@
 	keyLoadReports      = "load_reports"
 	keyLostStreams      = "lost_streams"
 	keyMaxBacklog       = "max_backlog"
+	keyMaxUnsentDrains  = "max_unsent_drains"
 	keyRefusals         = "refusals"
 	keyRejectedMessages = "rejected_messages"
 	keySilentProxies    = "silent_proxies"
--- a/internal/scenario/baseline.go
+++ b/internal/scenario/baseline.go
@@ -81,6 +81,9 @@
 // SetLagging does nothing: a baseline has no deferrable decisions.
 func (b *baselineDecider) SetLagging(bool) {}
 
+// UnsentDrains returns 0, as drains are not followed up.
+func (b *baselineDecider) UnsentDrains() int { return 0 }
+
 // Next makes at most one decision, passes it to the host, and reports whether there was a decision.
 func (b *baselineDecider) Next(host policy.Host) bool {
 	for _, server := range b.servers {
--- a/policy/constants.go
+++ b/policy/constants.go
@@ -190,7 +190,10 @@
 	// maxDrainWaitShare is the share of the drain grace within which the ejection of a draining server must reach proxies. As
 	// long as that leaves time, the ejection may wait to share a message with other orders.
 	maxDrainWaitShare = 0.5
-	slowChannelFactor = 6.0 // factor by which the channel drains more slowly while acknowledgements are late
+	// lateDrainShare is the share of the drain grace after which an ejection that a proxy has not been sent is reported.
+	lateDrainShare         = 0.75
+	unsentReportIntervalMs = 1000.0 // least ms between two reports of late drains
+	slowChannelFactor      = 6.0    // factor by which the channel drains more slowly while acknowledgements are late
 	// pollsUntilNotified is the largest number of polls of the endpoint list within Settings.AssumeNotifiedMs while no answer
 	// arrives.
 	pollsUntilNotified = 3
--- a/policy/inputs.go
+++ b/policy/inputs.go
@@ -13,18 +13,19 @@
 // settings.Classes, which the caller must not change afterwards.
 func New(settings Settings, seed int64) *Policy {
 	p := &Policy{
-		settings:       settings,
-		random:         rand.New(rand.NewSource(seed)),
-		byName:         map[string]*server{},
-		byID:           map[int]*proxy{},
-		pollBackoff:    pollBackoffMs,
-		serversChanged: true,
-		bearableShare:  1,
-		solvedMs:       unset,
-		admissionMs:    unset,
-		evaluatedMs:    unset,
-		timerMs:        unset,
-		reportedMs:     unset,
+		settings:         settings,
+		random:           rand.New(rand.NewSource(seed)),
+		byName:           map[string]*server{},
+		byID:             map[int]*proxy{},
+		pollBackoff:      pollBackoffMs,
+		serversChanged:   true,
+		bearableShare:    1,
+		solvedMs:         unset,
+		admissionMs:      unset,
+		evaluatedMs:      unset,
+		timerMs:          unset,
+		reportedMs:       unset,
+		unsentReportedMs: unset,
 	}
 	for _, class := range settings.Classes {
 		p.admission = append(p.admission, newAdmission(class, settings.DefaultRetry))
@@ -164,6 +165,7 @@
 		cohort:           -1,
 		expectedRate:     limit(usualRate, 0, maxRequestRate),
 		joinedMs:         p.nowMs,
+		addedMs:          p.nowMs,
 		messageTimes:     slices.Clone(messageTimes),
 		acknowledgements: map[int]float64{},
 		ejected:          map[*server]bool{},
--- a/policy/observer.go
+++ b/policy/observer.go
@@ -8,6 +8,9 @@
 	ServerChanged(change ServerChange)
 	// Solved is called after each solve.
 	Solved(summary SolveSummary)
+	// DrainsUnsent is called while proxies have not been sent ejections of draining servers although much of the drain grace
+	// has passed, at most once a second.
+	DrainsUnsent(late []UnsentDrain)
 }
 
 // ChangeReason is why the state of a server changed.
--- a/policy/pacing.go
+++ b/policy/pacing.go
@@ -36,16 +36,21 @@
 		return false
 	}
 	cost := entries*float64(len(recipients)) + p.settings.MessageOverhead*float64(len(withoutMessage))
-	full := p.updateBacklog()+cost > p.settings.MaxBacklog*backlogShare[urgency] ||
-		p.unacknowledged()+cost > p.settings.MaxBacklog*max(backlogShare[required], backlogShare[urgency])
-	// An empty channel accepts any required order. Otherwise, an order larger than the limit could never be sent.
-	if full && (p.unacknowledged() > 0 || urgency < required) {
+	if !p.hasRoom(cost, urgency) {
 		return false
 	}
 	p.countOrder(entries, cost, recipients, withoutMessage)
 	return true
 }
 
+// hasRoom reports whether the channel has room for an order of a cost in entries.
+func (p *Policy) hasRoom(cost float64, urgency int) bool {
+	full := p.updateBacklog()+cost > p.settings.MaxBacklog*backlogShare[urgency] ||
+		p.unacknowledged()+cost > p.settings.MaxBacklog*max(backlogShare[required], backlogShare[urgency])
+	// An empty channel accepts any required order. Otherwise, an order larger than the limit could never be sent.
+	return !full || p.unacknowledged() == 0 && urgency >= required
+}
+
 // withinMessageLimit reports whether each recipient may be sent one more message within MessageWindowMs.
 func (p *Policy) withinMessageLimit(recipients []*proxy, urgency int) bool {
 	limit := float64(p.settings.MaxMessages) * messageShare[urgency]
--- a/policy/records.go
+++ b/policy/records.go
@@ -98,14 +98,25 @@
 
 // hasTables reports whether the proxy has a table with entries in use for each class group.
 func (p *Policy) hasTables(proxy *proxy) bool {
-	for _, client := range p.clients[proxy.zone*p.classGroups : (proxy.zone+1)*p.classGroups] {
-		if proxy.cohort < 0 || !slices.ContainsFunc(client.tables[proxy.cohort].entries, (*entry).inUse) {
+	for group := range proxy.tables {
+		if proxy.cohort < 0 || !slices.ContainsFunc(p.clientOf(proxy, group).tables[proxy.cohort].entries, (*entry).inUse) {
 			return false
 		}
 	}
 	return true
 }
 
+// clientOf returns the client that the proxy belongs to for a class group.
+func (p *Policy) clientOf(proxy *proxy, group int) *client {
+	return p.clients[proxy.zone*p.classGroups+group]
+}
+
+// mayGoTo reports whether requests of the client may go to the server.
+func (c *client) mayGoTo(server *server, classes []TrafficClass) bool {
+	sameZoneOnly := len(c.classes) > 0 && classes[c.classes[0]].SameZoneOnly
+	return server.Zone == c.zone || !sameZoneOnly
+}
+
 // recordWeight records that the proxies of the entry's table were sent the entry, and were notified whether its server is
 // ejected.
 func (p *Policy) recordWeight(entry *entry, urgent bool) {
@@ -122,8 +133,11 @@
 }
 
 // recordEjection records that an ejection or a readmission was ordered to the recipients.
-func (s *server) recordEjection(ejected bool, recipients []*proxy) {
+func (s *server) recordEjection(ejected bool, recipients []*proxy, nowMs float64) {
 	s.ejected = ejected
+	if ejected {
+		s.ejectedMs = nowMs
+	}
 	for _, proxy := range recipients {
 		proxy.ejected[s] = ejected
 	}
--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -10,6 +10,7 @@
 // room for it when its turn comes.
 func (p *Policy) plan() {
 	p.pendingDecisions = nil
+	p.observeUnsentDrains()
 	p.enqueue(p.pollEndpoints)
 	var changes [required + 1][]decision
 	for _, table := range p.tables {
@@ -164,7 +165,7 @@
 	if len(recipients) == 0 || !server.ejected || !p.spendBudget(1, recipients, drainEjection) {
 		return false
 	}
-	server.recordEjection(true, recipients)
+	server.recordEjection(true, recipients, p.nowMs)
 	host.SetEjected(server.Server, true, true)
 	return true
 }
@@ -186,7 +187,7 @@
 	if !p.spendForEjection(server, recipients, eject, takeover) {
 		return false
 	}
-	server.recordEjection(eject, recipients)
+	server.recordEjection(eject, recipients, p.nowMs)
 	host.SetEjected(server.Server, eject, !takeover)
 	return true
 }
@@ -290,7 +291,7 @@
 // servers in them. After many joins, assignments cost less than ejecting each draining server, so they must not wait for
 // such ejections. In a takeover, entries with small weights are omitted and sent later.
 func (p *Policy) assignTable(host Host, proxy *proxy, group int, takeover bool) bool {
-	client := p.clients[proxy.zone*p.classGroups+group]
+	client := p.clientOf(proxy, group)
 	table := client.tables[proxy.cohort]
 	ejected := filter(table.entries, (*entry).ejected)
 	readmitted := filter(table.entries, proxy.awaitsReadmission)
--- a/policy/state.go
+++ b/policy/state.go
@@ -19,9 +19,10 @@
 // server is the state of a server: what is known of it, and what was ordered about it. forgetRemoved deletes it.
 type server struct {
 	Endpoint
-	samples []sample // last load reports, oldest first
-	entries []*entry // entries of the server in tables of this planner
-	ejected bool     // whether the last order about the server ejected it
+	samples   []sample // last load reports, oldest first
+	entries   []*entry // entries of the server in tables of this planner
+	ejected   bool     // whether the last order about the server ejected it
+	ejectedMs float64  // when the last order that ejected the server was made
 
 	unhealthy        bool    // the server is to be ejected, by evidence or because it is cold
 	unhealthyUntilMs float64 // end of the time for which the server is unhealthy
@@ -48,6 +49,7 @@
 	cohort       int        // index of the proxy's cohort in its zone; -1 before there are tables
 	expectedRate float64    // requests per second that the proxy stated when it joined
 	joinedMs     float64    // when the proxy joined, or was sent its first known message by another planner
+	addedMs      float64    // when the proxy was last added to this planner
 	demand       [][]sample // last demand reports, by traffic class
 	tables       []*table   // tables that the proxy follows, by class group; nil until assigned
 
@@ -158,6 +160,9 @@
 	bearableShare    float64 // part of that share with which no server gets more than its limit by the last split; 1: all
 	capacityRate     float64 // known capacity of the fleet in successful requests per second
 
+	unsentCount      int     // number of late drains at the last evaluation
+	unsentReportedMs float64 // when the observer was last notified of late drains
+
 	// Statistics, updated by each evaluation. Latencies and failure shares are those of the median server.
 	reportCoversMs     []float64 // lengths in ms of the periods that the last load reports cover
 	baselineScratch    []float64 // buffer of baselineOf
--- a/policy/tables.go
+++ b/policy/tables.go
@@ -87,13 +87,12 @@
 // costs returns L of the paper, the cost of a request of the client at each server, which is higher outside of its zone.
 func (p *Policy) costs(client *client, servers []*server, zoneLatencies []float64) []float64 {
 	costs := make([]float64, len(servers))
-	sameZoneOnly := len(client.classes) > 0 && p.settings.Classes[client.classes[0]].SameZoneOnly
 	for j, server := range servers {
 		L := zoneLatencies[server.Zone]
 		if server.Zone != client.zone {
 			L += p.settings.CrossZoneCost * p.latencyObjectiveMs
 		}
-		if server.Zone != client.zone && sameZoneOnly {
+		if !client.mayGoTo(server, p.settings.Classes) {
 			L = math.Inf(1)
 		}
 		costs[j] = L / p.typicalLatency() / float64(len(servers)) * costScale
