Keep the policy's and the host's record of an ejection the same at a drain

Callers saw: a server that was ejected by evidence, left all tables, and was then listed as draining or gone got no requests after its return: its first weights came together with the old ejection, until missing load reports had it ejected and readmitted. A zone of such servers has none to pick.

Cause: setState (policy/inputs.go) marked the server as not ejected, so that its drain would be sent to all holders again, and did not tell the host. A server in no table gets no such order, so the two records stayed apart; the host never forgot the server either.

Change: that a drain is still to be ordered has a field of its own, drainOrdered; ejected changes only with an order to the host.

Evidence: the new test fails before ("ejected is true and the share 0, 10 s after the return").

--- a/policy/drain_test.go
+++ b/policy/drain_test.go
@@ -91,3 +91,24 @@
 		}
 	}
 }
+
+// Guards against a zone without servers: a server that was ejected by evidence, left all tables and was then removed counted as
+// readmitted by the policy only, so that its first weights after its return reached proxies together with the old ejection.
+func TestServerThatLeftWhileEjectedIsReadmittedOnItsReturn(t *testing.T) {
+	f := startFleet(testSettings(), 8)
+	f.run(10, healthy)
+	f.run(5, except("s3", 5, 5, 0))
+	if !f.ejected["s3"] || f.planner.byName["s3"].inAnyTable() {
+		t.Fatal("the failing server is not ejected from all tables, so the test shows nothing")
+	}
+	removed := Endpoint{Server: "s3", Zone: 1, RelativeCapacity: 1, State: Removed}
+	f.update(removed)
+	f.run(20, except("s3", 0, 0, 0))
+	returned := removed
+	returned.State = Ready
+	f.update(returned)
+	f.run(10, healthy)
+	if f.ejected["s3"] || f.share(1, 0, "s3") == 0 {
+		t.Errorf("ejected is %t and the share %g, 10 s after the return", f.ejected["s3"], f.share(1, 0, "s3"))
+	}
+}
--- a/policy/inputs.go
+++ b/policy/inputs.go
@@ -121,10 +121,9 @@
 	p.observeChange(server, ChangeListed)
 }
 
-// setState records a change of a server's state in the list. If the server was ejected while ready, proxies whose tables it
-// was added to since then may not have been notified of the ejection. So the server counts as not ejected, and its drain
-// ejects it at all proxies that hold it. The drain grace of a server that drained and is now removed goes on: it started when
-// the drain was listed.
+// setState records a change of a server's state in the list. A server that ceases to be ready is to be ejected at all proxies
+// that hold it, even if it was ejected while ready: proxies whose tables it was added to since then may not have been notified.
+// The drain grace of a server that drained and is now removed goes on: it started when the drain was listed.
 func (p *Policy) setState(server *server, state State) {
 	if state == server.State {
 		return
@@ -132,7 +131,7 @@
 	if server.State == Ready {
 		server.leftReadyMs = p.nowMs
 	}
-	server.ejected = server.ejected && server.State != Ready
+	server.drainOrdered = server.drainOrdered && state != Ready
 	server.State = state
 	server.stateChangedMs = p.nowMs
 }
--- a/policy/records.go
+++ b/policy/records.go
@@ -135,6 +135,7 @@
 // recordEjection records that an ejection or a readmission was ordered to the recipients.
 func (s *server) recordEjection(ejected bool, recipients []*proxy, nowMs float64) {
 	s.ejected = ejected
+	s.drainOrdered = ejected && s.State != Ready
 	if ejected {
 		s.ejectedMs = nowMs
 	}
--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -134,7 +134,8 @@
 func (p *Policy) planEjections(takeover bool) {
 	for _, server := range p.servers {
 		eject := !server.usable() && !p.expired(server)
-		if eject == server.ejected || !eject && p.serversChanged || takeover && server.State != Ready {
+		ordered := eject == server.ejected && (!eject || server.State == Ready || server.drainOrdered)
+		if ordered || !eject && p.serversChanged || takeover && server.State != Ready {
 			continue
 		}
 		p.enqueue(func(host Host) bool { return p.setEjected(host, server, eject, takeover) })
@@ -255,7 +256,7 @@
 	recipients := map[*proxy]bool{}
 	for _, server := range p.servers {
 		isUrgent := server.leftReadyMs <= oldest || p.drainIsDue(server)
-		if server.State == Ready || server.ejected || !isUrgent {
+		if server.State == Ready || server.drainOrdered || !isUrgent {
 			continue
 		}
 		drains = append(drains, server)
--- a/policy/state.go
+++ b/policy/state.go
@@ -21,7 +21,7 @@
 	Endpoint
 	samples   []sample // last load reports, oldest first
 	entries   []*entry // entries of the server in tables of this planner
-	ejected   bool     // whether the last order about the server ejected it
+	ejected   bool     // whether the last order about the server ejected it; the host holds the same
 	ejectedMs float64  // when the last order that ejected the server was made
 
 	unhealthy        bool    // the server is to be ejected, by evidence or because it is cold
@@ -32,6 +32,7 @@
 	hasSucceeded     bool    // some attempt at the server succeeded
 	discoveredLate   bool    // the server was first listed after the first solve
 	stateChangedMs   float64 // last change of the server's state in the list
+	drainOrdered     bool    // whether the server was ejected since it ceased to be ready
 	leftReadyMs      float64 // when the list last ceased to show the server as ready: the start of its drain grace
 	addedMs          float64 // last time that the server was added to a table
 
