Follow up the drains at each proxy, whenever it joined

Cause: that a server's drain was done stood in one flag of the server. n1 had ejected the three servers at the first proxy that joined it; planEjections (policy/rollout.go) then passed over them for ever.

Change: policy/unsentdrains.go asks, for each joined proxy and each draining or removed server that the proxy may hold (by an assigned table, or by one of before that nothing has replaced), whether that proxy was sent the ejection. If not, and no assignment is about to replace the table, the proxy is sent it at half the grace. Host.EjectServers does so at one proxy, in `serve` and in `planner` (whose joiners were told at once before, but not when planners share the fleet); the simulator's wire has no such order, so the ejection is ordered anew at all proxies. This takes the place of planDrainsWithoutTables.

A first form also ejected at proxies that await a table; it broke TestDrainsDuringMassJoin, as the channel has no room for both.

--- a/internal/planner/policyhost.go
+++ b/internal/planner/policyhost.go
@@ -99,6 +99,18 @@
 	}
 }
 
+// EjectServers ejects servers, and notifies one proxy that may use them.
+func (h policyHost) EjectServers(proxyID int, servers []string) {
+	c := h.core
+	p := c.proxies.byID[proxyID]
+	for _, server := range servers {
+		c.registry.SetEjected(server, true)
+		if p != nil && p.commanded && p.usesServer(server) {
+			c.setEjected(p, server, true)
+		}
+	}
+}
+
 // RestoreServers does nothing: a joining proxy reports its ejections by itself, and AssignTable omits no entries.
 func (h policyHost) RestoreServers(int, []string) {}
 
--- a/internal/planner/policysettings.go
+++ b/internal/planner/policysettings.go
@@ -40,6 +40,7 @@
 		Planners:             int(set.GetPlanners()),
 		MinServerConnections: float64(set.Servers.GetLeastConnections()),
 		IdleTimeoutMs:        settings.Milliseconds(set.Servers.ConnectionIdle),
+		EjectsSingly:         true, // policyHost.EjectServers
 	}
 	for _, class := range set.Groups {
 		translated.Classes = append(translated.Classes, policy.TrafficClass{
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -61,7 +61,7 @@
 func NewCore(settings simulator.Settings, seed int64, nowMs float64) *Core {
 	settings.Policy.ReadmitByWeight = true // policyHost.SetWeight readmits a server with its first weight
 	settings.Policy.OmitsEntries = true    // policyHost.AssignTable can omit entries
-	settings.Policy.EjectsOnce = true      // policyHost.SetEjected leaves out proxies that were notified
+	settings.Policy.EjectsSingly = true    // policyHost.EjectServers
 	core := &Core{
 		settings:        settings,
 		policy:          policy.New(settings.Policy, seed),
--- a/internal/platform/policyhost.go
+++ b/internal/platform/policyhost.go
@@ -114,6 +114,19 @@
 	}
 }
 
+// EjectServers ejects servers, and notifies one proxy of those of which it was not notified.
+func (h policyHost) EjectServers(proxyID int, servers []string) {
+	publisher := &h.core.publisher
+	p := h.core.proxies.byID[proxyID]
+	for _, server := range servers {
+		publisher.registry.SetEjected(server, true)
+		e := h.core.endpoints.byName[server]
+		if p != nil && !p.inactive && e != nil && !e.notified.contains(proxyID) {
+			publisher.setEjected(p, e, true)
+		}
+	}
+}
+
 // inOtherTable reports whether a table of the proxy, other than the given one, holds a server.
 func (p *proxy) inOtherTable(server string, except *weighttable.Table[*proxy]) bool {
 	return slices.ContainsFunc(p.tables, func(table *weighttable.Table[*proxy]) bool {
--- a/internal/scenario/decider_test.go
+++ b/internal/scenario/decider_test.go
@@ -57,6 +57,16 @@
 	d.host.SetWeight(table, server, weight)
 }
 
+func (d *editingDecider) EjectServers(proxyID int, servers []string) {
+	if d.editEjection == nil {
+		d.host.EjectServers(proxyID, servers)
+		return
+	}
+	for _, server := range servers {
+		d.editEjection(d, server, true)
+	}
+}
+
 func (d *editingDecider) RestoreServers(proxyID int, servers []string) {
 	d.host.RestoreServers(proxyID, servers)
 }
--- a/internal/simulator/host.go
+++ b/internal/simulator/host.go
@@ -48,6 +48,9 @@
 	i.actions.setEjected(i.name, server, ejected)
 }
 
+// EjectServers implements policy.Host. It is never called, as the simulator's settings do not set EjectsSingly.
+func (i *instance) EjectServers(int, []string) {}
+
 // RestoreServers implements policy.Host. It adds no action to the reply: the simulator never reports a proxy that holds
 // ejections of another planner.
 func (i *instance) RestoreServers(int, []string) {}
--- a/policy/digest_test.go
+++ b/policy/digest_test.go
@@ -351,6 +351,9 @@
 	s.record("restore %d %v", proxy, servers)
 }
 
+// EjectServers is never called, as the settings do not set EjectsSingly.
+func (s *simulation) EjectServers(int, []string) { panic("the host cannot eject at single proxies") }
+
 func (s *simulation) WatchEndpoints() {
 	s.record("follow")
 	s.observed.polls++
--- a/policy/drain_test.go
+++ b/policy/drain_test.go
@@ -72,7 +72,7 @@
 // the ejections of draining servers were never sent them (a planner restarted during a release of all servers).
 func TestDrainsReachProxiesThatJoinWhileNoTableCanBeAssigned(t *testing.T) {
 	settings := testSettings()
-	settings.EjectsOnce = true
+	settings.EjectsSingly = true
 	f := startPlanner(settings)
 	list := readyServers(6)
 	for index := range list {
--- a/policy/host.go
+++ b/policy/host.go
@@ -56,7 +56,7 @@
 	MinServerConnections float64 // number of connections that the smallest server accepts
 	IdleTimeoutMs        float64 // time after which a proxy closes an unused connection
 	OmitsEntries         bool    // the host can leave entries out when it assigns a table, and sends them on Host.RestoreServers
-	EjectsOnce           bool    // SetEjected leaves out proxies that hold the ejection already
+	EjectsSingly         bool    // the host can eject servers at a single proxy by Host.EjectServers
 	ReadmitByWeight      bool    // the first weight of a server in a proxy's tables ends the server's ejection at this proxy
 }
 
@@ -107,6 +107,9 @@
 	// SetEjected ejects or readmits a server at the proxies whose tables hold it and, with includeUnassigned, at those that
 	// may follow tables of another planner.
 	SetEjected(server string, ejected, includeUnassigned bool)
+	// EjectServers ejects draining or removed servers at one proxy, also those that were not ejected by SetEjected yet. It is
+	// called only with Settings.EjectsSingly.
+	EjectServers(proxy int, servers []string)
 	// RestoreServers sends a proxy the omitted entries of servers, and ends the ejections of these servers that another
 	// planner may have ordered at this proxy. Servers that this planner has ejected stay ejected.
 	RestoreServers(proxy int, servers []string)
--- a/policy/host_test.go
+++ b/policy/host_test.go
@@ -241,6 +241,13 @@
 	f.log("restore %d %v", proxy, servers)
 }
 
+func (f *fakeHost) EjectServers(proxy int, servers []string) {
+	f.log("eject at %d %v", proxy, servers)
+	for _, server := range servers {
+		f.ejected[server] = true
+	}
+}
+
 func (f *fakeHost) WatchEndpoints() { f.polls = append(f.polls, f.nowMs) }
 
 func (f *fakeHost) SetTimer(inMs float64) { f.log("timer %g", inMs) }
--- a/policy/pacing.go
+++ b/policy/pacing.go
@@ -31,7 +31,7 @@
 // spendBudget spends the budget for an order with the given number of entries to each recipient, and reports whether the
 // channel had room for an order of its urgency.
 func (p *Policy) spendBudget(entries float64, recipients []*proxy, urgency int) bool {
-	withoutMessage := filter(recipients, func(proxy *proxy) bool { return !proxy.hasMessageAt(p.nowMs) })
+	withoutMessage := p.withoutMessage(recipients)
 	if !p.withinMessageLimit(withoutMessage, urgency) {
 		return false
 	}
@@ -51,6 +51,11 @@
 	return !full || p.unacknowledged() == 0 && urgency >= required
 }
 
+// withoutMessage returns the recipients for whom an order starts a message.
+func (p *Policy) withoutMessage(recipients []*proxy) []*proxy {
+	return filter(recipients, func(proxy *proxy) bool { return !proxy.hasMessageAt(p.nowMs) })
+}
+
 // withinMessageLimit reports whether each recipient may be sent one more message within MessageWindowMs.
 func (p *Policy) withinMessageLimit(recipients []*proxy, urgency int) bool {
 	limit := float64(p.settings.MaxMessages) * messageShare[urgency]
--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -27,7 +27,7 @@
 		p.planAssignments(takeover)
 	}
 	p.planEjections(takeover) // queued after assignments, as a restarted planner ejects many cold servers at once
-	p.planDrainsWithoutTables()
+	p.planUnsentDrains()
 	p.enqueue(changes[urgent]...)
 	p.planAdmission()
 	for _, proxy := range p.proxies {
@@ -142,35 +142,6 @@
 	}
 }
 
-// planDrainsWithoutTables queues the ejections of draining and removed servers at proxies that joined after these ejections were
-// sent, and go by tables of before. Otherwise an assignment replaces such tables; there is none while no server is usable.
-func (p *Policy) planDrainsWithoutTables() {
-	if !p.settings.EjectsOnce || slices.ContainsFunc(p.servers, (*server).usable) {
-		return
-	}
-	waiting := filter(p.proxies, func(proxy *proxy) bool { return !p.hasTables(proxy) && p.dueSince(proxy.joinedMs) })
-	if len(waiting) == 0 {
-		return
-	}
-	for _, server := range p.servers {
-		if server.State == Ready || !server.ejected {
-			continue
-		}
-		p.enqueue(func(host Host) bool { return p.ejectAt(host, server, waiting) })
-	}
-}
-
-// ejectAt sends the ejection of a draining or removed server to those of some proxies that do not hold it yet.
-func (p *Policy) ejectAt(host Host, server *server, proxies []*proxy) bool {
-	recipients := filter(proxies, func(proxy *proxy) bool { return !proxy.ejected[server] && proxy.mayUse(server, true) })
-	if len(recipients) == 0 || !server.ejected || !p.spendBudget(1, recipients, drainEjection) {
-		return false
-	}
-	server.recordEjection(true, recipients, p.nowMs)
-	host.SetEjected(server.Server, true, true)
-	return true
-}
-
 // setEjected ejects a server at the proxies that may use it, or readmits it once no table has a weight much above its
 // target, which is low at first. The host notifies other proxies when they are sent a weight of the server.
 func (p *Policy) setEjected(host Host, server *server, eject, takeover bool) bool {
@@ -214,12 +185,15 @@
 
 // drainIsDue reports whether a drain must be sent now to reach proxies by half of the drain grace, even after all that waits in
 // the channel and the longest propagation.
-func (p *Policy) drainIsDue(server *server) bool { return p.dueSince(server.leftReadyMs) }
+func (p *Policy) drainIsDue(server *server) bool {
+	return server.leftReadyMs <= p.dueGraceStartMs(maxDrainWaitShare)
+}
 
-// dueSince does what drainIsDue does, for a grace that began at a time in ms.
-func (p *Policy) dueSince(startMs float64) bool {
+// dueGraceStartMs returns the latest start, in ms, of the drain graces whose share has passed by the time at which an order that
+// is made now will have reached proxies.
+func (p *Policy) dueGraceStartMs(share float64) float64 {
 	arrivalMs := p.nowMs + p.queueMs() + p.settings.MaxPropagationMs
-	return arrivalMs >= startMs+p.settings.DrainGraceMs*maxDrainWaitShare
+	return arrivalMs - p.settings.DrainGraceMs*share
 }
 
 // ejectionRecipients returns the proxies that an ejection or a readmission is to be sent to.
--- a/policy/takeover_test.go
+++ b/policy/takeover_test.go
@@ -23,6 +23,7 @@
 	ejectionDecision decisionKind = iota
 	assignmentDecision
 	restorationDecision
+	singleEjectionDecision
 )
 
 // takeoverDecision is a decision of a kind that matters in a takeover.
@@ -59,6 +60,11 @@
 	h.record(takeoverDecision{kind: assignmentDecision, proxy: proxy, table: table, servers: omitted})
 }
 
+func (h *takeoverHost) EjectServers(proxy int, servers []string) {
+	h.fakeHost.EjectServers(proxy, servers)
+	h.record(takeoverDecision{kind: singleEjectionDecision, proxy: proxy, servers: servers})
+}
+
 func (h *takeoverHost) RestoreServers(proxy int, servers []string) {
 	h.record(takeoverDecision{kind: restorationDecision, proxy: proxy, servers: servers})
 }
--- a/policy/unsentdrains.go
+++ b/policy/unsentdrains.go
@@ -5,8 +5,9 @@
 	"slices"
 )
 
-// This file finds joined proxies that may still send to a draining or removed server, because they have not been sent its
-// ejection.
+// This file follows up the drains at each joined proxy that may send to a draining or removed server, however and whenever it
+// joined. Ordinarily, one order ejects such a server at all proxies, and a proxy that joins later is assigned tables that replace
+// the ones it had. Neither reaches every proxy: there may be nothing to assign.
 
 // UnsentReason is why a proxy has not been sent the ejection of a draining or removed server.
 type UnsentReason int
@@ -99,6 +100,91 @@
 	return false
 }
 
+// planUnsentDrains queues the ejections of draining and removed servers at those proxies that must be sent them now. When their
+// turn comes, those are left out that other decisions have seen to or are about to.
+func (p *Policy) planUnsentDrains() {
+	due := p.unsentDrains(p.dueGraceStartMs(maxDrainWaitShare))
+	due = slices.DeleteFunc(due, func(drain unsentDrain) bool {
+		return !drain.server.drainOrdered || !p.stillUnsent(drain)
+	})
+	if p.settings.EjectsSingly {
+		p.planSingleEjections(due)
+	} else {
+		p.planRepeatedEjections(due)
+	}
+}
+
+// stillUnsent reports whether an unsent drain of the start of this evaluation is one still, and no assignment will replace the
+// table with the draining server.
+func (p *Policy) stillUnsent(drain unsentDrain) bool {
+	held := drain.proxy.mayUse(drain.server, false)
+	if drain.proxy.ejected[drain.server] || !held && !p.mayHoldUnassigned(drain.proxy, drain.server) {
+		return false
+	}
+	return held || !p.assignmentPending(drain.proxy)
+}
+
+// assignmentPending reports whether tables are about to be assigned to the proxy that replace all those of before. They cost
+// about as much as ejecting each draining server, and a channel that is full of assignments has no room for both.
+func (p *Policy) assignmentPending(proxy *proxy) bool { return p.hasTables(proxy) }
+
+// planSingleEjections queues ejections, all those of a proxy together.
+func (p *Policy) planSingleEjections(due []unsentDrain) {
+	var recipients []*proxy // in the order of due, so that decisions are deterministic
+	drains := map[*proxy][]unsentDrain{}
+	for _, drain := range due {
+		if drains[drain.proxy] == nil {
+			recipients = append(recipients, drain.proxy)
+		}
+		drains[drain.proxy] = append(drains[drain.proxy], drain)
+	}
+	for _, proxy := range recipients {
+		p.enqueue(func(host Host) bool { return p.ejectAt(host, proxy, drains[proxy]) })
+	}
+}
+
+// ejectAt ejects draining and removed servers at a proxy.
+func (p *Policy) ejectAt(host Host, proxy *proxy, drains []unsentDrain) bool {
+	unsent := filter(drains, p.stillUnsent)
+	if len(unsent) == 0 || !p.spendBudget(float64(len(unsent)), single(proxy), drainEjection) {
+		return false
+	}
+	var names []string
+	for _, drain := range unsent {
+		drain.server.recordEjection(true, single(proxy), p.nowMs)
+		names = append(names, drain.server.Server)
+	}
+	host.EjectServers(proxy.id, names)
+	return true
+}
+
+// planRepeatedEjections queues, for a host that ejects at all proxies only, that ejections are ordered anew.
+func (p *Policy) planRepeatedEjections(due []unsentDrain) {
+	planned := map[*server]bool{}
+	for _, drain := range due {
+		if planned[drain.server] {
+			continue
+		}
+		planned[drain.server] = true
+		p.enqueue(func(host Host) bool { return p.repeatEjection(host, drain.server, due) })
+	}
+}
+
+// repeatEjection ejects a server at all proxies anew, if it is among the drains that are still unsent.
+func (p *Policy) repeatEjection(host Host, server *server, due []unsentDrain) bool {
+	unsent := slices.ContainsFunc(due, func(drain unsentDrain) bool { return drain.server == server && p.stillUnsent(drain) })
+	if !unsent {
+		return false
+	}
+	recipients := p.ejectionRecipients(server, true, false)
+	if !p.spendBudget(1, recipients, drainEjection) {
+		return false
+	}
+	server.recordEjection(true, recipients, p.nowMs)
+	host.SetEjected(server.Server, true, true)
+	return true
+}
+
 // graceStartMs returns when the drain grace of the server began for the proxy.
 func (d unsentDrain) graceStartMs() float64 { return math.Max(d.proxy.addedMs, d.server.leftReadyMs) }
 
--- a/policy/unsentdrains_test.go
+++ b/policy/unsentdrains_test.go
@@ -1,6 +1,9 @@
 package policy
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // drainObserver records the late drains that a policy reports.
 type drainObserver struct{ reports [][]UnsentDrain }
@@ -41,3 +44,66 @@
 		t.Errorf("%d late drains 15 s after the drain began", count)
 	}
 }
+
+// lateJoinSettings returns settings with a class that keeps to the proxy's zone.
+func lateJoinSettings(ejectsSingly bool) Settings {
+	settings := testSettings()
+	settings.EjectsSingly = ejectsSingly
+	settings.Classes[1].SameZoneOnly = true
+	return settings
+}
+
+// drainZone returns the list of readyServers in which the servers of zone 1 have another state.
+func drainZone(count int, state State) []Endpoint {
+	list := readyServers(count)
+	for index := range list {
+		if list[index].Zone == 1 {
+			list[index].State = state
+		}
+	}
+	return list
+}
+
+// checkDrainsSent fails the test for each draining or removed server of zone 1 whose ejection a proxy has not been sent.
+func (f *fakeHost) checkDrainsSent(t *testing.T, proxies ...int) {
+	t.Helper()
+	for _, id := range proxies {
+		joined := f.planner.byID[id]
+		for _, server := range f.planner.servers {
+			if server.Zone == 1 && server.State != Ready && !joined.ejected[server] {
+				t.Errorf("proxy %d was not sent the ejection of %s, %.0f ms after it joined", id, server.Server, f.nowMs-joined.addedMs)
+			}
+		}
+	}
+}
+
+// Guards against a broken drain rule: proxies that joined after the servers of their zone had been ejected were never sent these
+// ejections, as there was no table to assign for a class that keeps to the zone, while servers of other zones were usable.
+func TestDrainsReachLateJoinersWithoutATableForAClass(t *testing.T) {
+	for _, ejectsSingly := range []bool{true, false} {
+		for _, state := range []State{Draining, Removed} {
+			t.Run(fmt.Sprintf("%s, EjectsSingly %t", state, ejectsSingly), func(t *testing.T) {
+				f := startPlanner(lateJoinSettings(ejectsSingly))
+				f.planner.UpdateEndpoints(RestoredUpdate, drainZone(6, Draining))
+				f.planner.AddProxy(0, 1, 10)
+				f.planner.ExpectInheritedEjections(0)
+				f.run(1, nil)
+				f.checkDrainsSent(t, 0)
+				f.planner.UpdateEndpoints(DeltaUpdate, drainZone(6, state))
+				f.planner.AddProxy(1, 1, 10) // with the table that it started with
+				f.run(1, nil)
+				f.planner.AddProxy(2, 1, 10) // with tables of another planner
+				f.planner.ExpectInheritedEjections(2)
+				f.run(2, nil)
+				f.checkDrainsSent(t, 0, 1, 2)
+				f.planner.AddProxy(0, 1, 10) // on a new stream
+				f.planner.ExpectInheritedEjections(0)
+				f.run(2, nil)
+				f.checkDrainsSent(t, 0, 1, 2)
+				if f.planner.UnsentDrains() > 0 {
+					t.Errorf("%d late drains", f.planner.UnsentDrains())
+				}
+			})
+		}
+	}
+}
