Drains no longer wait for proxies that may be sent no message

Callers saw: while one proxy had been sent all the messages that it may be sent in 10 s, an ejection of a draining server reached no other proxy either.

Cause: an ejection is one order to all that hold the server, and spendBudget refuses it if one recipient is at its limit: a fact about one proxy stood for the fleet.

Change: such an ejection is ordered singly, once it is due, at the proxies that have room, and at the others when they have. A proxy that may be sent no table for now (a table needs more of the limit than a drain) is sent the ejections of the servers that its old tables may hold.

--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -27,7 +27,7 @@
 		p.planAssignments(takeover)
 	}
 	p.planEjections(takeover) // queued after assignments, as a restarted planner ejects many cold servers at once
-	p.planUnsentDrains()
+	p.planUnsentDrains(takeover)
 	p.enqueue(changes[urgent]...)
 	p.planAdmission()
 	for _, proxy := range p.proxies {
--- a/policy/unsentdrains.go
+++ b/policy/unsentdrains.go
@@ -7,7 +7,8 @@
 
 // This file follows up the drains at each joined proxy that may send to a draining or removed server, however and whenever it
 // joined. Ordinarily, one order ejects such a server at all proxies, and a proxy that joins later is assigned tables that replace
-// the ones it had. Neither reaches every proxy: there may be nothing to assign.
+// the ones it had. Neither reaches every proxy: there may be nothing to assign, or no room, and single recipients may have been
+// sent all the messages that they may be sent.
 
 // UnsentReason is why a proxy has not been sent the ejection of a draining or removed server.
 type UnsentReason int
@@ -102,10 +103,17 @@
 
 // planUnsentDrains queues the ejections of draining and removed servers at those proxies that must be sent them now. When their
 // turn comes, those are left out that other decisions have seen to or are about to.
-func (p *Policy) planUnsentDrains() {
+func (p *Policy) planUnsentDrains(takeover bool) {
 	due := p.unsentDrains(p.dueGraceStartMs(maxDrainWaitShare))
+	blocked := map[*server]bool{}
+	for _, drain := range due {
+		if _, known := blocked[drain.server]; !known {
+			blocked[drain.server] = p.ejectionBlocked(drain.server, takeover)
+		}
+	}
 	due = slices.DeleteFunc(due, func(drain unsentDrain) bool {
-		return !drain.server.drainOrdered || !p.stillUnsent(drain)
+		orderPending := !drain.server.drainOrdered && !blocked[drain.server]
+		return orderPending || !p.stillUnsent(drain)
 	})
 	if p.settings.EjectsSingly {
 		p.planSingleEjections(due)
@@ -124,9 +132,20 @@
 	return held || !p.assignmentPending(drain.proxy)
 }
 
+// ejectionBlocked reports whether the ejection of a server cannot be ordered at all proxies that hold it, because some of them
+// were sent all the messages that they may be sent.
+func (p *Policy) ejectionBlocked(server *server, takeover bool) bool {
+	return p.settings.EjectsSingly && !server.drainOrdered &&
+		!p.withinMessageLimit(p.withoutMessage(p.ejectionRecipients(server, true, takeover)), drainEjection)
+}
+
 // assignmentPending reports whether tables are about to be assigned to the proxy that replace all those of before. They cost
-// about as much as ejecting each draining server, and a channel that is full of assignments has no room for both.
-func (p *Policy) assignmentPending(proxy *proxy) bool { return p.hasTables(proxy) }
+// about as much as ejecting each draining server, and a channel that is full of assignments has no room for both. A proxy that
+// may be sent no assignment for now may still be sent ejections, if the host can send them to this proxy alone.
+func (p *Policy) assignmentPending(proxy *proxy) bool {
+	mustWait := p.settings.EjectsSingly && !p.withinMessageLimit(p.withoutMessage(single(proxy)), required)
+	return p.hasTables(proxy) && !mustWait
+}
 
 // planSingleEjections queues ejections, all those of a proxy together.
 func (p *Policy) planSingleEjections(due []unsentDrain) {
--- a/policy/unsentdrains_test.go
+++ b/policy/unsentdrains_test.go
@@ -107,3 +107,31 @@
 		}
 	}
 }
+
+// Guards against drains that wait for the whole fleet: a proxy that had been sent all the messages it may be sent kept an ejection
+// from all other proxies.
+func TestDrainsDoNotWaitForProxiesAtTheirMessageLimit(t *testing.T) {
+	settings := testSettings()
+	settings.EjectsSingly = true
+	f := startFleet(settings, 6)
+	f.run(12, healthy)
+	limited := f.planner.byID[3]
+	for range settings.MaxMessages {
+		limited.messageTimes = append(limited.messageTimes, f.nowMs)
+	}
+	f.update(Endpoint{Server: "s2", Zone: 0, RelativeCapacity: 1, State: Draining})
+	f.run(2, healthy)
+	drained := f.planner.byName["s2"]
+	for _, proxy := range f.planner.proxies {
+		if proxy != limited && proxy.mayUse(drained, true) && !proxy.ejected[drained] {
+			t.Errorf("proxy %d may use the server 2 s after its drain began", proxy.id)
+		}
+	}
+	if limited.ejected[drained] {
+		t.Error("the proxy at its message limit was sent the ejection")
+	}
+	f.run(10, healthy)
+	if limited.mayUse(drained, true) && !limited.ejected[drained] {
+		t.Error("the proxy at its message limit may use the server 12 s after its drain began")
+	}
+}
