--- a/internal/fakeplatform/config.go
+++ b/internal/fakeplatform/config.go
@@ -24,6 +24,7 @@
 	DeadlineMs  float64
 	Worth       float64
 	Repeat      string // as the settings name it
+	StaysLocal  bool   // requests may go only to servers in the proxy's zone
 }
 
 // Kind is a kind of servers.
@@ -65,6 +66,7 @@
 	FallWindowMs     float64
 	HandshakeMs      float64 // work of a new connection
 	ClientRetries    int
+	MaxListDelayMs   float64 // each planner is notified of all changes of the list by a delay of its own, up to this
 }
 
 // Midlands returns a deployment of 150 proxies and 30 servers in three zones under two planners, with the figures of the
@@ -76,9 +78,9 @@
 		ReadyMs:      1000,
 		Zones:        []string{"derby", "nottingham", "leicester"},
 		Classes: []Class{
-			{"session-check", 0.51, 103, 600, 1500, 3, "read_like"},
-			{"session-start", 0.34, 165, 1000, 2500, 3, "idempotency_key"},
-			{"card-charge", 0.15, 165, 800, 2500, 5, "non_idempotent"},
+			{"session-check", 0.51, 103, 600, 1500, 3, "read_like", false},
+			{"session-start", 0.34, 165, 1000, 2500, 3, "idempotency_key", false},
+			{"card-charge", 0.15, 165, 800, 2500, 5, "non_idempotent", false},
 		},
 		Kinds: []Kind{
 			{0.36, 2, 1.1, 1.5, 13},
@@ -112,8 +114,9 @@
 // Settings returns the settings object that the platform gives to planners.
 func (c *Config) Settings() json.RawMessage {
 	var classes []map[string]any
-	stays := make([]bool, len(c.Classes))
+	var stays []bool
 	for _, class := range c.Classes {
+		stays = append(stays, class.StaysLocal)
 		classes = append(classes, map[string]any{
 			"Name": class.Name, "AimMs": class.ObjectiveMs, "DeadlineMs": class.DeadlineMs, "Worth": class.Worth,
 			"LateWorth": 0.2, "Repeat": class.Repeat, "DedupScope": "zone", "KeyTtlMs": 2500.0,
--- a/internal/fakeplatform/day.go
+++ b/internal/fakeplatform/day.go
@@ -30,6 +30,20 @@
 	}
 }
 
+// ScheduleZoneDrain schedules that all servers of a zone drain at once. They go on to serve until the end of the day.
+func (p *Platform) ScheduleZoneDrain(atMs float64, zone int) {
+	p.After(atMs, func() {
+		var drained []*server
+		for _, server := range p.servers {
+			if server.zone == zone && server.state == policy.Ready {
+				server.state = policy.Draining
+				drained = append(drained, server)
+			}
+		}
+		p.publish(0, drained...)
+	})
+}
+
 // replace drains servers and starts them again.
 func (p *Platform) replace(servers []*server, drainMs float64) {
 	for _, server := range servers {
--- a/internal/fakeplatform/platform.go
+++ b/internal/fakeplatform/platform.go
@@ -69,6 +69,7 @@
 	notifiedVersion int64             // version of the last list that the planner was notified of
 	notifiedMs      map[int64]float64 // when the planner was notified, by version of the list
 	notifyDueMs     float64           // when the last notification arrives; notifications arrive in order
+	listDelayMs     float64           // by which it is notified late
 	collectors      []*collector
 	loads           map[loadKey]*load // load reports to be sent
 	nextReport      int               // index of the pair whose report is sent next
@@ -88,6 +89,8 @@
 			process:    process,
 			notifiedMs: map[int64]float64{},
 			loads:      map[loadKey]*load{},
+
+			listDelayMs: config.MaxListDelayMs * p.random.Float64(),
 		})
 	}
 	for number := range config.Servers {
@@ -155,7 +158,7 @@
 		}
 		list := p.list(changed, false)
 		for _, slot := range p.planners {
-			slot.notifyDueMs = max(slot.notifyDueMs, p.NowMs()+p.random.Float64()*notifySpreadMs)
+			slot.notifyDueMs = max(slot.notifyDueMs, p.NowMs()+slot.listDelayMs+p.random.Float64()*notifySpreadMs)
 			p.After(slot.notifyDueMs-p.NowMs(), func() { p.notify(slot, list) })
 		}
 	})
--- a/internal/fakeplatform/rules.go
+++ b/internal/fakeplatform/rules.go
@@ -38,7 +38,7 @@
 // checkUnserved checks, when a proxy has no server to pick for a class, the rule on proxies without one.
 func (x *proxy) checkUnserved(class int) {
 	p := x.platform
-	if x.slot == nil || !p.anyWarm() {
+	if x.slot == nil || !p.anyWarm(class, x.zone) {
 		x.unservedMs[class] = p.NowMs()
 		return
 	}
@@ -49,9 +49,13 @@
 	}
 }
 
-// anyWarm reports whether the list shows a ready server that started long enough ago to be warm.
-func (p *Platform) anyWarm() bool {
+// anyWarm reports whether the list shows a ready server, open to a class of the proxies of a zone, that started long enough ago
+// to be warm.
+func (p *Platform) anyWarm(class, zone int) bool {
 	for _, server := range p.servers {
+		if p.config.Classes[class].StaysLocal && server.zone != zone {
+			continue
+		}
 		if server.listed == policy.Ready && (server.listedStartMs == 0 || p.NowMs()-server.listedStartMs >= p.config.WarmUpMs) {
 			return true
 		}
--- a/internal/fakeplatform/soak_test.go
+++ b/internal/fakeplatform/soak_test.go
@@ -13,11 +13,13 @@
 const (
 	// soakSeedsVariable is an environment variable with the number of days to play; it makes the soak longer by hand.
 	soakSeedsVariable = "LICHENPICK_SOAK_SEEDS"
-	soakSeeds         = 24
+	soakSeeds         = 64
 	soakProcessSeeds  = 2
 	maxFaults         = 3
 	faultsFromMs      = 4000.0
 	faultsUntilMs     = 18000.0
+	maxListDelayMs    = 5500.0 // of changes of the list; the platform tells them within 6 s
+	zoneDrainLeadMs   = 3000.0 // from the drain of a zone to the first restart of a planner, at most
 )
 
 // soakConfig draws a deployment and its load.
@@ -30,10 +32,17 @@
 	config.Proxies = 60 + random.Intn(120)
 	config.ClientRetries = random.Intn(4)
 	config.PropagationMs = 100 + 350*random.Float64()
+	if random.Intn(2) == 0 {
+		config.Classes[random.Intn(len(config.Classes))].StaysLocal = true
+	}
+	if random.Intn(2) == 0 {
+		config.MaxListDelayMs = maxListDelayMs
+	}
 	return config
 }
 
-// scheduleSoakDay draws faults of a day: releases, crashes, and planners that are restarted one after the other.
+// scheduleSoakDay draws faults of a day: releases, crashes, and planners that are restarted one after the other, sometimes while
+// the servers of a zone drain.
 func scheduleSoakDay(p *fakeplatform.Platform, config fakeplatform.Config, random *rand.Rand) {
 	released := false
 	for range 1 + random.Intn(maxFaults) {
@@ -45,6 +54,9 @@
 		case kind == 1:
 			p.ScheduleCrash(atMs, 500+4000*random.Float64(), 1+random.Intn(config.Servers/3))
 		default:
+			if random.Intn(2) == 0 {
+				p.ScheduleZoneDrain(atMs-zoneDrainLeadMs*random.Float64(), random.Intn(len(config.Zones)))
+			}
 			for number := range config.Planners {
 				downMs := 700 + 2000*random.Float64()
 				p.ScheduleRestart(number, atMs, downMs)
