Removed servers stay ejected at proxies that still go by old tables

Ten minutes after the servers of a zone were removed, proxies of the zone would have been told that these are no longer ejected, and gone on sending to them.

Cause: a removed server is forgotten, and its ejection ends, once no table of this planner holds it: a fact about this planner's tables stood for those that proxies hold. Where there is no table to assign, proxies keep the old one.

Change: the server is kept while only its ejection keeps a joined proxy from sending to it. This is bounded: such a proxy's old tables hold no server that was first listed later than AssumeNotifiedMs after the proxy joined.

Evidence: TestRemovedServersStayEjectedAtProxiesWithOldTables fails before ("s1 is no longer ejected"), and checks that the servers are forgotten once the proxy has left.

--- a/policy/inputs.go
+++ b/policy/inputs.go
@@ -93,6 +93,7 @@
 		known = &server{
 			discoveredLate: kind != RestoredUpdate && p.solves > 0,
 			evidenceFromMs: p.nowMs,
+			listedMs:       p.nowMs,
 			readmittedMs:   unset,
 			addedMs:        unset,
 		}
--- a/policy/outliers.go
+++ b/policy/outliers.go
@@ -1,6 +1,9 @@
 package policy
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // unverified reports whether a server is new in the list, has no start time, and never succeeded. Without a start time, the
 // server should have been running for long; but a wrong list may name servers of another fleet. A server with a start time
@@ -21,7 +24,17 @@
 // expired reports whether a server was removed long ago and no table holds it. The ejection of such a server ends, and then
 // the server is deleted.
 func (p *Policy) expired(server *server) bool {
-	return server.State == Removed && p.nowMs-server.stateChangedMs > forgetRemovedMs && !server.inAnyTable()
+	removedLongAgo := server.State == Removed && p.nowMs-server.stateChangedMs > forgetRemovedMs
+	return removedLongAgo && !server.inAnyTable() && !p.ejectedInOldTable(server)
+}
+
+// ejectedInOldTable reports whether only its ejection keeps some proxy from sending to the server, as the proxy goes by a table
+// of before it joined. Such a table holds no server that was listed later; lists reach planners within AssumeNotifiedMs.
+func (p *Policy) ejectedInOldTable(server *server) bool {
+	return slices.ContainsFunc(p.proxies, func(proxy *proxy) bool {
+		listedBefore := server.listedMs <= proxy.addedMs+p.settings.AssumeNotifiedMs
+		return listedBefore && p.mayHoldUnassigned(proxy, server) && proxy.ejected[server]
+	})
 }
 
 // updateEjections applies the sequential test to each ready server, and readmits servers whose ejection has ended. Many
--- a/policy/state.go
+++ b/policy/state.go
@@ -31,6 +31,7 @@
 	readmittedMs     float64 // time at which the last ejection ended and the recovery ramp started
 	hasSucceeded     bool    // some attempt at the server succeeded
 	discoveredLate   bool    // the server was first listed after the first solve
+	listedMs         float64 // when the list first showed the server
 	stateChangedMs   float64 // last change of the server's state in the list
 	drainOrdered     bool    // whether the server was ejected since it ceased to be ready
 	leftReadyMs      float64 // when the list last ceased to show the server as ready: the start of its drain grace
--- a/policy/unsentdrains_test.go
+++ b/policy/unsentdrains_test.go
@@ -135,3 +135,30 @@
 		t.Error("the proxy at its message limit may use the server 12 s after its drain began")
 	}
 }
+
+// Guards against a broken drain rule: ten minutes after the servers of a zone were removed, their ejections ended at proxies that
+// still went by tables with these servers, as there was no other table to assign.
+func TestRemovedServersStayEjectedAtProxiesWithOldTables(t *testing.T) {
+	const tenMinutes = 600
+	f := startPlanner(lateJoinSettings(true))
+	f.planner.UpdateEndpoints(RestoredUpdate, drainZone(6, Draining))
+	f.planner.AddProxy(0, 1, 10)
+	f.planner.ExpectInheritedEjections(0)
+	f.run(1, nil)
+	f.update(drainZone(6, Removed)...)
+	f.run(tenMinutes+10, nil)
+	f.update(readyServers(1)...)
+	f.run(1, nil)
+	for _, server := range []string{"s1", "s3", "s5"} {
+		if !f.ejected[server] {
+			t.Errorf("%s is no longer ejected", server)
+		}
+	}
+	f.planner.RemoveProxy(0)
+	f.update(readyServers(1)...)
+	f.run(1, nil)
+	f.update(readyServers(1)...)
+	if known := len(f.planner.servers); known != 3 {
+		t.Errorf("%d servers are known after the proxy has left, want the 3 of the other zone", known)
+	}
+}
