Drains reach proxies that go by the table that they started with

Cause: setEjected passes over a server in no table of this planner unless some proxy "may follow another planner"; a proxy with its starting table does not count as such.

Change: passesOver names that condition, and the follow-up sees to what it passes over. It also no longer lists pairs of proxies that are about to be assigned tables, which are many after a mass restart.

--- a/internal/planner/ejections_test.go
+++ b/internal/planner/ejections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"testing"
 
@@ -26,6 +27,36 @@
 	})
 }
 
+// Guards against a broken drain rule: proxies that joined with the table that they started with went on sending to a draining server of
+// their zone while the planner had no other server for a class that keeps to the zone.
+func TestDrainReachesProxiesWithoutAnAssignedTable(t *testing.T) {
+	const classes = testClassCount + 1
+	host := newIdleHost(t, `groups { name: "local" latency_budget: "600ms" expiry: "1.5s" only_zone: true } servers { drain_grace: "4s" }`)
+	list := endpointList(2)
+	list.Endpoints[0].State = policy.Draining
+	host.UpdateEndpoints(list)
+	host.evaluate(0)
+	var streams []*Stream
+	for number := range 3 {
+		stream := &Stream{Address: netip.MustParseAddr("127.1.0.9")}
+		host.sent[stream] = nil
+		host.HandleJoin(stream, &order.Join{
+			Proxy: fmt.Sprint("proxy", number), UsualPerS: 10, Incarnation: 1, Stream: 1, Groups: classes,
+			Holds: []*order.Holding{{Groups: []uint32{0, 1, 2}, Lines: []*order.Line{{Server: "s0", Weight: 1}}}},
+		})
+		streams = append(streams, stream)
+		host.run(float64(number)*1000, float64(number)*1000+950)
+	}
+	host.run(3000, 6500)
+	for _, stream := range streams {
+		welcome, welcomed := host.sent[stream][0].(*order.Welcome)
+		notified := host.received(stream, isEjectionOf("s0")) || welcomed && slices.Contains(welcome.Withdrawn, "s0")
+		if !notified {
+			t.Errorf("%s was not notified of the drain within the grace", stream.Name())
+		}
+	}
+}
+
 // An ejection must end with the server's last table entry, both at the planner and at the proxy. Ejections that stay would
 // accumulate with each replaced server. An ejection that ends only at the planner would keep the proxy from using the
 // server once the server is ready again.
--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -145,12 +145,11 @@
 // setEjected ejects a server at the proxies that may use it, or readmits it once no table has a weight much above its
 // target, which is low at first. The host notifies other proxies when they are sent a weight of the server.
 func (p *Policy) setEjected(host Host, server *server, eject, takeover bool) bool {
-	unused := eject && !server.inAnyTable()
-	if unused && p.solves > 0 && (takeover || !p.anyMayFollowOtherPlanner()) {
+	if eject && p.passesOver(server, takeover) {
 		return false // returns before listing the recipients, which is slow, as there may be many unused servers
 	}
 	recipients := p.ejectionRecipients(server, eject, takeover)
-	if unused && server.State == Ready || eject && len(recipients) == 0 {
+	if eject && server.State == Ready && !server.inAnyTable() || eject && len(recipients) == 0 {
 		return false
 	}
 	if !eject && slices.ContainsFunc(server.entries, (*entry).overTarget) {
@@ -164,6 +163,12 @@
 	return true
 }
 
+// passesOver reports whether a server is not ejected at all proxies, as none may hold it but those that started with it in their
+// tables, or in a takeover those that are to be assigned tables. unsentDrains finds these.
+func (p *Policy) passesOver(server *server, takeover bool) bool {
+	return !server.inAnyTable() && p.solves > 0 && (takeover || !p.anyMayFollowOtherPlanner())
+}
+
 // spendForEjection spends the budget for an ejection or a readmission, and reports whether there was room. Ejections of cold
 // servers and of drains may use a reserve. Outside of a takeover, a drain uses the reserve only once drainIsDue, so that the
 // drain can share a message with other orders until then.
--- a/policy/unsentdrains.go
+++ b/policy/unsentdrains.go
@@ -48,12 +48,15 @@
 	server *server
 }
 
-// unsentDrains returns the unsent drains of all joined proxies whose drain grace began at startedByMs or before.
-func (p *Policy) unsentDrains(startedByMs float64) []unsentDrain {
+// unassignedSince returns the proxies that have gone by a table of before they joined since a time or longer.
+func (p *Policy) unassignedSince(ms float64) []*proxy {
+	return filter(p.proxies, func(proxy *proxy) bool { return proxy.addedMs <= ms && slices.Contains(proxy.tables, nil) })
+}
+
+// unsentDrains returns the unsent drains whose grace began at startedByMs or before: those of all proxies with assigned tables that
+// hold the server, and of the unassigned ones.
+func (p *Policy) unsentDrains(startedByMs float64, unassigned []*proxy) []unsentDrain {
 	var unsent []unsentDrain
-	unassigned := filter(p.proxies, func(proxy *proxy) bool {
-		return proxy.addedMs <= startedByMs && slices.Contains(proxy.tables, nil)
-	})
 	for _, server := range p.servers {
 		if server.State == Ready || server.leftReadyMs > startedByMs || p.expired(server) {
 			continue
@@ -104,17 +107,15 @@
 // planUnsentDrains queues the ejections of draining and removed servers at those proxies that must be sent them now. When their
 // turn comes, those are left out that other decisions have seen to or are about to.
 func (p *Policy) planUnsentDrains(takeover bool) {
-	due := p.unsentDrains(p.dueGraceStartMs(maxDrainWaitShare))
-	blocked := map[*server]bool{}
+	startedByMs := p.dueGraceStartMs(maxDrainWaitShare)
+	due := p.unsentDrains(startedByMs, slices.DeleteFunc(p.unassignedSince(startedByMs), p.assignmentPending))
+	pending := map[*server]bool{}
 	for _, drain := range due {
-		if _, known := blocked[drain.server]; !known {
-			blocked[drain.server] = p.ejectionBlocked(drain.server, takeover)
+		if _, known := pending[drain.server]; !known {
+			pending[drain.server] = p.ejectionPending(drain.server, takeover)
 		}
 	}
-	due = slices.DeleteFunc(due, func(drain unsentDrain) bool {
-		orderPending := !drain.server.drainOrdered && !blocked[drain.server]
-		return orderPending || !p.stillUnsent(drain)
-	})
+	due = slices.DeleteFunc(due, func(drain unsentDrain) bool { return pending[drain.server] })
 	if p.settings.EjectsSingly {
 		p.planSingleEjections(due)
 	} else {
@@ -132,11 +133,14 @@
 	return held || !p.assignmentPending(drain.proxy)
 }
 
-// ejectionBlocked reports whether the ejection of a server cannot be ordered at all proxies that hold it, because some of them
-// were sent all the messages that they may be sent.
-func (p *Policy) ejectionBlocked(server *server, takeover bool) bool {
-	return p.settings.EjectsSingly && !server.drainOrdered &&
-		!p.withinMessageLimit(p.withoutMessage(p.ejectionRecipients(server, true, takeover)), drainEjection)
+// ejectionPending reports whether the ejection of a server is yet to be ordered at all proxies that may use it. It cannot be while
+// some of these were sent all the messages that they may be sent.
+func (p *Policy) ejectionPending(server *server, takeover bool) bool {
+	if server.drainOrdered || p.passesOver(server, takeover) {
+		return false
+	}
+	recipients := p.ejectionRecipients(server, true, takeover)
+	return !p.settings.EjectsSingly || p.withinMessageLimit(p.withoutMessage(recipients), drainEjection)
 }
 
 // assignmentPending reports whether tables are about to be assigned to the proxy that replace all those of before. They cost
@@ -240,7 +244,8 @@
 
 // observeUnsentDrains counts the late drains, and notifies the observer of them at most once every unsentReportIntervalMs.
 func (p *Policy) observeUnsentDrains() {
-	late := p.unsentDrains(p.nowMs - p.settings.DrainGraceMs*lateDrainShare)
+	startedByMs := p.nowMs - p.settings.DrainGraceMs*lateDrainShare
+	late := p.unsentDrains(startedByMs, p.unassignedSince(startedByMs))
 	p.unsentCount = len(late)
 	if p.observer == nil || len(late) == 0 || p.nowMs-p.unsentReportedMs < unsentReportIntervalMs {
 		return
--- a/policy/unsentdrains_test.go
+++ b/policy/unsentdrains_test.go
@@ -45,6 +45,8 @@
 	}
 }
 
+const lateJoinServers = 6
+
 // lateJoinSettings returns settings with a class that keeps to the proxy's zone.
 func lateJoinSettings(ejectsSingly bool) Settings {
 	settings := testSettings()
@@ -53,9 +55,9 @@
 	return settings
 }
 
-// drainZone returns the list of readyServers in which the servers of zone 1 have another state.
-func drainZone(count int, state State) []Endpoint {
-	list := readyServers(count)
+// drainZone returns a list of lateJoinServers in which the servers of zone 1 have another state.
+func drainZone(state State) []Endpoint {
+	list := readyServers(lateJoinServers)
 	for index := range list {
 		if list[index].Zone == 1 {
 			list[index].State = state
@@ -84,12 +86,12 @@
 		for _, state := range []State{Draining, Removed} {
 			t.Run(fmt.Sprintf("%s, EjectsSingly %t", state, ejectsSingly), func(t *testing.T) {
 				f := startPlanner(lateJoinSettings(ejectsSingly))
-				f.planner.UpdateEndpoints(RestoredUpdate, drainZone(6, Draining))
+				f.planner.UpdateEndpoints(RestoredUpdate, drainZone(Draining))
 				f.planner.AddProxy(0, 1, 10)
 				f.planner.ExpectInheritedEjections(0)
 				f.run(1, nil)
 				f.checkDrainsSent(t, 0)
-				f.planner.UpdateEndpoints(DeltaUpdate, drainZone(6, state))
+				f.planner.UpdateEndpoints(DeltaUpdate, drainZone(state))
 				f.planner.AddProxy(1, 1, 10) // with the table that it started with
 				f.run(1, nil)
 				f.planner.AddProxy(2, 1, 10) // with tables of another planner
@@ -108,6 +110,20 @@
 	}
 }
 
+// Guards against a broken drain rule: servers that no table of the planner had ever held were not ejected at proxies that go by the
+// table that they started with.
+func TestDrainsReachProxiesWithStartingTables(t *testing.T) {
+	for _, ejectsSingly := range []bool{true, false} {
+		f := startPlanner(lateJoinSettings(ejectsSingly))
+		f.planner.UpdateEndpoints(RestoredUpdate, drainZone(Draining))
+		f.planner.AddProxy(0, 1, 10)
+		f.run(2, nil)
+		f.planner.AddProxy(1, 1, 10)
+		f.run(2, nil)
+		f.checkDrainsSent(t, 0, 1)
+	}
+}
+
 // Guards against drains that wait for the whole fleet: a proxy that had been sent all the messages it may be sent kept an ejection
 // from all other proxies.
 func TestDrainsDoNotWaitForProxiesAtTheirMessageLimit(t *testing.T) {
@@ -141,11 +157,11 @@
 func TestRemovedServersStayEjectedAtProxiesWithOldTables(t *testing.T) {
 	const tenMinutes = 600
 	f := startPlanner(lateJoinSettings(true))
-	f.planner.UpdateEndpoints(RestoredUpdate, drainZone(6, Draining))
+	f.planner.UpdateEndpoints(RestoredUpdate, drainZone(Draining))
 	f.planner.AddProxy(0, 1, 10)
 	f.planner.ExpectInheritedEjections(0)
 	f.run(1, nil)
-	f.update(drainZone(6, Removed)...)
+	f.update(drainZone(Removed)...)
 	f.run(tenMinutes+10, nil)
 	f.update(readyServers(1)...)
 	f.run(1, nil)
