Test of unfinished messages: clients share their text, so the planner is measured

Seen: TestUnfinishedMessagesCostLittleMemory was red once beside load ("very many short fields", 52 MiB, bound 32).

Cause, traced: the bound is on the memory of the whole test process, and each of the 300 clients held its text of 800 kB, and a copy, until it was written.

Change: clients write one shared text. The bound is the same, and all of it now counts for the planner.

--- a/internal/platform/clients_test.go
+++ b/internal/platform/clients_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -50,21 +51,38 @@
 	return monotonic.Monotonic() - startMs
 }
 
+// unfinishedText is what a client writes before it writes no more: a text of its own, and one that all clients share, so that the
+// memory that is measured is the planner's.
+type unfinishedText struct {
+	own    func(id int) string
+	shared []byte
+}
+
+// write writes the text. It fails where the planner closes the connection.
+func (u unfinishedText) write(conn net.Conn, id int) error {
+	if _, err := io.WriteString(conn, u.own(id)); err != nil {
+		return err
+	}
+	_, err := conn.Write(u.shared)
+	return err
+}
+
 // Guards against a planner that passes its memory limit while hundreds of clients write slowly, stop half way through a large
 // message or send very many short fields (issue 41, picture a).
 func TestUnfinishedMessagesCostLittleMemory(t *testing.T) {
-	for name, text := range map[string]func(id int) string{
-		"half a first message":   func(int) string { return "joined id=1 site=" },
-		"very many short fields": func(id int) string { return joinAs(id) + "usage " + strings.Repeat("a=1 ", 200_000) },
-		"half a large message":   func(id int) string { return joinAs(id) + "usage " + strings.Repeat("a", 1<<19) },
-		"a slow message":         func(id int) string { return joinAs(id) + "usage id=" },
+	beginUsage := func(id int) string { return joinAs(id) + "usage " }
+	for name, text := range map[string]unfinishedText{
+		"half a first message":   {own: func(int) string { return "joined id=1 site=" }},
+		"very many short fields": {own: beginUsage, shared: bytes.Repeat([]byte("a=1 "), 200_000)},
+		"half a large message":   {own: beginUsage, shared: bytes.Repeat([]byte("a"), 1<<19)},
+		"a slow message":         {own: func(id int) string { return beginUsage(id) + "id=" }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			planner := startPlannerWith(t, crowdedConfig(newFakeDiscovery(t, listText(1, true, "s-1:ready")).address()), nil)
 			before := usedBytes()
 			for id := range slowClients {
 				peer := planner.dial("")
-				go func() { _, _ = io.WriteString(peer.Conn, text(id)) }() // fails where the planner closes the connection
+				go func() { _ = text.write(peer.Conn, id) }()
 			}
 			<-after(settleMs)
 			if grown := usedBytes() - before; grown > maxClientBytes {
