--- a/policy/unsentdrains_test.go
+++ b/policy/unsentdrains_test.go
@@ -13,7 +13,7 @@
 func (o *drainObserver) DrainsUnsent(late []UnsentDrain) { o.reports = append(o.reports, late) }
 
 // Guards against drains that are broken unseen: a proxy that may not be sent another message is not sent an ejection, and the
-// observer is told of it, once a second, until the ejection has been sent.
+// observer is notified of it, once a second, until the ejection has been sent.
 func TestLateDrainsAreObserved(t *testing.T) {
 	settings := testSettings()
 	settings.MaxMessages = 2
