Follow up drains by class: a pending table keeps its share of the ejections away

Needed: where a proxy has nothing to be assigned for one class, but is about to be assigned a table for the others, the follow-up took all of its old tables for kept, and sent it the ejections of draining servers of every zone. After a mass restart these fill the channel that the assignments need.

Change: for a class whose table is about to be assigned nothing is sent; only servers count that the kept tables, those of the other classes, may hold.

Evidence: TestProxiesThatAwaitATableAreNotSentAllDrains fails before ("proxy 3 was sent the ejection of a server that its next table replaces"). Sites without a class that keeps to its zone have one table for all classes, so nothing changes for them.

--- a/policy/records.go
+++ b/policy/records.go
@@ -99,13 +99,18 @@
 // hasTables reports whether the proxy has a table with entries in use for each class group.
 func (p *Policy) hasTables(proxy *proxy) bool {
 	for group := range proxy.tables {
-		if proxy.cohort < 0 || !slices.ContainsFunc(p.clientOf(proxy, group).tables[proxy.cohort].entries, (*entry).inUse) {
+		if !p.hasTable(proxy, group) {
 			return false
 		}
 	}
 	return true
 }
 
+// hasTable reports whether the proxy has a table with entries in use for a class group.
+func (p *Policy) hasTable(proxy *proxy, group int) bool {
+	return proxy.cohort >= 0 && slices.ContainsFunc(p.clientOf(proxy, group).tables[proxy.cohort].entries, (*entry).inUse)
+}
+
 // clientOf returns the client that the proxy belongs to for a class group.
 func (p *Policy) clientOf(proxy *proxy, group int) *client {
 	return p.clients[proxy.zone*p.classGroups+group]
--- a/policy/unsentdrains.go
+++ b/policy/unsentdrains.go
@@ -64,8 +64,27 @@
 // mayHoldUnassigned reports whether a table that this planner did not assign to the proxy may hold the server: a table of
 // another planner, or the one that the proxy started with.
 func (p *Policy) mayHoldUnassigned(proxy *proxy, server *server) bool {
-	for group, table := range proxy.tables {
-		if table == nil && p.clientOf(proxy, group).mayGoTo(server, p.settings.Classes) {
+	return p.mayHoldIn(proxy, server, lacksTable)
+}
+
+// lacksTable reports whether the proxy was not assigned a table for a class group.
+func lacksTable(proxy *proxy, group int) bool { return proxy.tables[group] == nil }
+
+// mayHoldIn reports whether requests of the proxy may go to the server by the tables of some class group for which unknownTable
+// returns true.
+func (p *Policy) mayHoldIn(proxy *proxy, server *server, unknownTable func(*proxy, int) bool) bool {
+	for group := range proxy.tables {
+		if p.clientOf(proxy, group).mayGoTo(server, p.settings.Classes) && unknownTable(proxy, group) {
+			return true
+		}
+	}
+	return false
+}
+
+// keepsOldTables reports whether keepsOldTable holds for some class group.
+func (p *Policy) keepsOldTables(proxy *proxy) bool {
+	for group := range proxy.tables {
+		if p.keepsOldTable(proxy, group) {
 			return true
 		}
 	}
@@ -76,7 +95,7 @@
 // turn comes, those are left out that other decisions have seen to or are about to.
 func (p *Policy) planUnsentDrains(takeover bool) {
 	startedByMs := p.dueGraceStartMs(maxDrainWaitShare)
-	due := p.unsentDrains(startedByMs, slices.DeleteFunc(p.unassignedSince(startedByMs), p.assignmentPending))
+	due := p.unsentDrains(startedByMs, filter(p.unassignedSince(startedByMs), p.keepsOldTables))
 	pending := map[*server]bool{}
 	for _, drain := range due {
 		if _, known := pending[drain.server]; !known {
@@ -91,14 +110,12 @@
 	}
 }
 
-// stillUnsent reports whether an unsent drain of the start of this evaluation is one still, and no assignment will replace the
-// table with the draining server.
+// stillUnsent reports whether an unsent drain of the start of this evaluation is one still, and no assignment is about to replace
+// all tables that may hold the draining server.
 func (p *Policy) stillUnsent(drain unsentDrain) bool {
-	held := drain.proxy.mayUse(drain.server, false)
-	if drain.proxy.ejected[drain.server] || !held && !p.mayHoldUnassigned(drain.proxy, drain.server) {
-		return false
-	}
-	return held || !p.assignmentPending(drain.proxy)
+	proxy := drain.proxy
+	mayHold := proxy.mayUse(drain.server, false) || p.mayHoldIn(proxy, drain.server, p.keepsOldTable)
+	return mayHold && !proxy.ejected[drain.server]
 }
 
 // ejectionPending reports whether the ejection of a server is yet to be ordered at all proxies that may use it. It cannot be while
@@ -111,12 +128,15 @@
 	return !p.settings.EjectsSingly || p.withinMessageLimit(p.withoutMessage(recipients), drainEjection)
 }
 
-// assignmentPending reports whether tables are about to be assigned to the proxy that replace all those of before. They cost
-// about as much as ejecting each draining server, and a channel that is full of assignments has no room for both. A proxy that
-// may be sent no assignment for now may still be sent ejections, if the host can send them to this proxy alone.
-func (p *Policy) assignmentPending(proxy *proxy) bool {
-	mustWait := p.settings.EjectsSingly && !p.withinMessageLimit(p.withoutMessage(single(proxy)), required)
-	return p.hasTables(proxy) && !mustWait
+// keepsOldTable reports whether no table is about to be assigned to the proxy for a class group that has none: there is nothing to
+// assign, or the proxy may be sent no assignment for now, but ejections. A table costs about as much as ejecting each draining
+// server, and a channel that is full of assignments has no room for both; so a proxy that will be assigned one is left to it.
+func (p *Policy) keepsOldTable(proxy *proxy, group int) bool {
+	if !lacksTable(proxy, group) {
+		return false
+	}
+	limited := p.settings.EjectsSingly && !p.withinMessageLimit(p.withoutMessage(single(proxy)), required)
+	return limited || !p.hasTable(proxy, group)
 }
 
 // planSingleEjections queues ejections, all those of a proxy together.
--- a/policy/unsentdrains_test.go
+++ b/policy/unsentdrains_test.go
@@ -124,6 +124,35 @@
 	}
 }
 
+// Guards against a channel full of ejections after many joins: a proxy that is to be assigned a table for some classes is sent only the
+// ejections of servers that its table for the other classes may hold.
+func TestProxiesThatAwaitATableAreNotSentAllDrains(t *testing.T) {
+	settings := lateJoinSettings(true)
+	settings.MaxBacklog = 40 // room for two tables, and for ejections at each proxy
+	settings.EntriesPerSecond = 1
+	f := startPlanner(settings)
+	list := drainZone(Draining)
+	list[0].State = Draining // in the other zone
+	f.planner.UpdateEndpoints(RestoredUpdate, list)
+	for id := range 4 {
+		f.planner.AddProxy(id, 1, 10)
+	}
+	for range 15 {
+		f.advance(200)
+		f.decide()
+	}
+	waiting := filter(f.planner.proxies, func(proxy *proxy) bool { return proxy.tables[0] == nil })
+	ejected := filter(waiting, func(proxy *proxy) bool { return proxy.ejected[f.planner.byName["s1"]] })
+	if len(waiting) == 0 || len(ejected) == 0 {
+		t.Fatalf("%d proxies await a table, and %d of these were sent ejections, so the test shows nothing", len(waiting), len(ejected))
+	}
+	for _, proxy := range waiting {
+		if proxy.ejected[f.planner.byName["s0"]] {
+			t.Errorf("proxy %d was sent the ejection of a server that its next table replaces", proxy.id)
+		}
+	}
+}
+
 // Guards against drains that wait for the whole fleet: a proxy that had been sent all the messages it may be sent kept an ejection
 // from all other proxies.
 func TestDrainsDoNotWaitForProxiesAtTheirMessageLimit(t *testing.T) {
